route: health of an upstream in a package of its own

The cookie carrier to come judges upstreams by the same evidence, so the state chart moves out of the package that holds owners and handovers.

--- a/internal/route/sparroute/engine.go
+++ b/internal/route/sparroute/engine.go
@@ -34,6 +34,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparmember"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
@@ -64,11 +65,8 @@
 var (
 	//go:embed slot.chart
 	slotText []byte
-	//go:embed upstream.chart
-	upstreamText []byte
 
-	slotChart     = sparchart.MustParse(slotText)
-	upstreamChart = sparchart.MustParse(upstreamText)
+	slotChart = sparchart.MustParse(slotText)
 )
 
 type (
@@ -119,7 +117,7 @@
 		slots   []slot
 		flows   map[sparflow.Key]flow
 		load    load
-		health  map[sparflow.Endpoint]*health
+		health  map[sparflow.Endpoint]*sparhealth.Health
 		held    map[sparflow.Key]bool
 		handing []handing
 		ended   map[sparflow.Key]bool // overrides that standbys are to forget
--- a/internal/route/sparroute/health.go
+++ b/internal/route/sparroute/health.go
@@ -1,70 +1,38 @@
 package sparroute
 
 import (
-	"time"
-
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
-	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
-)
-
-const (
-	// failuresInRow is the number of failed openings after which an upstream fails.
-	failuresInRow = 3
-	// retryHealth is how long a failing upstream gets no openings.
-	retryHealth = 2 * time.Second
-	// rampStart is the share of a warming upstream at its first moment.
-	rampStart = 0.1
-
-	opensMark = sparchart.Mark("opens")
-	rampsMark = sparchart.Mark("ramps")
+	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 )
 
-// health is what the flows of this VM show about one upstream.
-type health struct {
-	state    sparchart.State
-	failures int
-	since    time.Duration
-}
-
 func (e *Engine) succeeded(g *group, at sparflow.Endpoint) {
 	h := g.health[at]
-	if h == nil {
-		return
+	if h != nil && h.Answered(e.now) {
+		e.noteHealth(g, at, h)
 	}
-	h.failures = 0
-	e.change(g, at, h, "answered")
 }
 
 func (e *Engine) failed(g *group, at sparflow.Endpoint) {
 	h := g.health[at]
-	if h == nil {
-		return
-	}
-	h.failures++
-	if h.failures >= failuresInRow || h.state == "trial" {
-		e.change(g, at, h, "failed")
+	if h != nil && h.Failed(e.now) {
+		e.noteHealth(g, at, h)
 	}
 }
 
-func (e *Engine) change(g *group, at sparflow.Endpoint, h *health, event sparchart.Event) {
-	next := upstreamChart.Next(h.state, event)
-	if next == h.state {
-		return
-	}
-	h.state, h.since = next, e.now
-	e.emit(Note{Kind: "upstream-" + string(next), Service: g.service.Name, Subject: at.String()})
+func (e *Engine) noteHealth(g *group, at sparflow.Endpoint, h *sparhealth.Health) {
+	e.emit(Note{Kind: "upstream-" + h.State(), Service: g.service.Name, Subject: at.String()})
 }
 
 // healthy reports whether the flows speak against the upstream. When most
 // upstreams look failing, the fault is more likely on this side: none is believed.
 func (e *Engine) healthy(g *group, at sparflow.Endpoint) bool {
 	h := g.health[at]
-	if h == nil || upstreamChart.Has(h.state, opensMark) {
+	if h == nil || h.Opens() {
 		return true
 	}
 	failing := 0
 	for _, other := range g.health {
-		if !upstreamChart.Has(other.state, opensMark) {
+		if !other.Opens() {
 			failing++
 		}
 	}
@@ -74,20 +42,16 @@
 // weight returns the share of an upstream, 1 unless it is warming.
 func (e *Engine) weight(g *group, at sparflow.Endpoint) float64 {
 	h := g.health[at]
-	if h == nil || !upstreamChart.Has(h.state, rampsMark) {
+	if h == nil {
 		return 1
 	}
-	done := float64(e.now-h.since) / float64(g.service.Warm)
-	return min(1, rampStart+(1-rampStart)*done)
+	return h.Weight(e.now, g.service.Warm)
 }
 
 func (e *Engine) tickHealth(g *group) {
 	for at, h := range g.health {
-		switch {
-		case upstreamChart.Has(h.state, rampsMark) && e.now-h.since >= g.service.Warm:
-			e.change(g, at, h, "warmed")
-		case !upstreamChart.Has(h.state, opensMark) && e.now-h.since >= retryHealth:
-			e.change(g, at, h, "retry")
+		if h.Tick(e.now, g.service.Warm) {
+			e.noteHealth(g, at, h)
 		}
 	}
 }
@@ -101,9 +65,9 @@
 		if g.health[u.At] != nil {
 			continue
 		}
-		h := &health{state: upstreamChart.Start(), since: e.now}
+		h := &sparhealth.Health{}
 		if !fresh && g.service.Warm > 0 {
-			h.state = upstreamChart.Next(h.state, "joined")
+			*h = sparhealth.Joined(e.now)
 		}
 		g.health[u.At] = h
 	}
--- a/internal/route/sparroute/settings.go
+++ b/internal/route/sparroute/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
@@ -54,7 +55,7 @@
 	g := &group{
 		service: service, slots: make([]slot, sparflow.Slots),
 		carries: map[sparflow.Endpoint]bool{}, flows: map[sparflow.Key]flow{},
-		load: newLoad(), health: map[sparflow.Endpoint]*health{}, held: map[sparflow.Key]bool{}, dirty: map[uint16]bool{}, ended: map[sparflow.Key]bool{},
+		load: newLoad(), health: map[sparflow.Endpoint]*sparhealth.Health{}, held: map[sparflow.Key]bool{}, dirty: map[uint16]bool{}, ended: map[sparflow.Key]bool{},
 	}
 	fresh := service.Revision > e.first
 	e.groups[service.Name] = g
