--- a/internal/log/sparlog/log_test.go
+++ b/internal/log/sparlog/log_test.go
@@ -12,7 +12,7 @@
 
 func TestRepeatedLinesAreLimited(t *testing.T) {
 	var b bytes.Buffer
-	log := sparlog.New(&b, "json", logrus.InfoLevel)
+	log := sparlog.New(&b, "json", logrus.InfoLevel, sparlog.Burst)
 	for range 100_000 {
 		log.Info("again")
 	}
--- /dev/null
+++ b/internal/member/sparsync/sync.go
@@ -0,0 +1,315 @@
+// Package sparsync keeps the settings of all VMs in step with the platform at few
+// calls. One VM reads, the others hear of it.
+//
+// Each VM knows as of when its settings are certain: a reading begun then, or a
+// peer's word with its age, told along a tree of VMs. A VM whose settings grow old
+// asks peers, then reads for itself; the order of names staggers who does so first.
+// A Sync does no I/O and reads no clock. Its time must go on while the VM is
+// suspended, so that settings age meanwhile:
+//
+//	s := sparsync.New(self, bound)
+//	for _, out := range s.Tick(now) {
+//		switch out := out.(type) {
+//		case sparsync.Read:
+//			// list the platform, then call s.ReadDone
+//		case sparsync.Notify:
+//			// send out.Notice to out.To
+//		}
+//	}
+package sparsync
+
+import (
+	_ "embed"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
+)
+
+const (
+	readsMark = sparchart.Mark("reads")
+	tellsMark = sparchart.Mark("tells")
+
+	// Shares of the time within which settings must be in force everywhere. What is
+	// left after a takeover covers a call, its timeout and the way along the tree.
+	readShare     = 0.25
+	askShare      = 0.4
+	takeoverShare = 0.5
+	staggerShare  = 0.15
+
+	// staggerSteps is the number of ranks that a takeover is staggered over.
+	staggerSteps = 8
+
+	retryFirst = 150 * time.Millisecond
+	retryLast  = 2 * time.Second
+	askEvery   = 200 * time.Millisecond
+	// aliveFor is how long a peer counts as reachable after it was last heard.
+	aliveFor = 6 * time.Second
+	// settle is how long entries may be missing after the platform's return: the
+	// upstreams' time to list themselves again, and one reading.
+	settle = 2500 * time.Millisecond
+)
+
+var (
+	//go:embed reader.chart
+	chartText []byte
+
+	chart = sparchart.MustParse(chartText)
+)
+
+type (
+	// Output is something for the shell to do. It is a sealed interface: Read, Ask,
+	// Notify or Confirm.
+	Output interface {
+		output()
+	}
+
+	// Read asks for a whole reading of the platform.
+	Read struct{}
+
+	// Ask pulls settings from a peer.
+	Ask struct {
+		From  sparconfig.VM
+		After uint64 // only what changed later; 0 for everything
+	}
+
+	// Notify tells a peer how old the settings here are.
+	Notify struct {
+		To     sparconfig.VM
+		Notice Notice
+	}
+
+	// Confirm tells a peer that its notice arrived.
+	Confirm struct {
+		To sparconfig.VM
+	}
+
+	// Notice says that the settings of a VM at Revision were complete Age ago.
+	Notice struct {
+		From     sparconfig.VM
+		Reader   string // the VM that read the platform
+		Round    uint64 // of that reader, rising
+		Revision uint64
+		Digest   uint64
+		Age      time.Duration
+	}
+
+	// Held is what a registry holds, by revision and digest.
+	Held struct {
+		Revision uint64
+		Digest   uint64
+	}
+
+	// Sync is the state of one VM. Use New.
+	Sync struct {
+		self    sparconfig.VM
+		bound   time.Duration
+		state   sparchart.State
+		held    Held
+		certain time.Duration // the settings were complete then; 0 before the first
+		peers   map[string]*peer
+		seeds   []*peer
+
+		source   mark   // whose reading the settings follow
+		rounds   uint64 // readings of this VM
+		busy     bool   // a reading is under way
+		readAt   time.Duration
+		retry    time.Duration
+		failing  bool
+		returned time.Duration // when the platform answered again after a failure
+		wanted   wanted
+		askedAt  time.Duration
+		asked    int // number of peers asked, to ask them in turn
+		relayed  mark
+	}
+
+	// wanted is settings that a peer has and this VM lacks.
+	wanted struct {
+		mark
+		held    Held
+		certain time.Duration
+	}
+
+	// mark is one round of one reader.
+	mark struct {
+		reader string
+		round  uint64
+	}
+
+	peer struct {
+		vm    sparconfig.VM
+		heard time.Duration
+		known bool // listed by the platform, otherwise only heard
+		open  int  // notices sent since it was heard last
+	}
+)
+
+func (Read) output()    {}
+func (Ask) output()     {}
+func (Notify) output()  {}
+func (Confirm) output() {}
+
+// New returns the state of the VM self. Settings must be in force everywhere within
+// bound of their acknowledgement.
+func New(self sparconfig.VM, bound time.Duration) *Sync {
+	return &Sync{self: self, bound: bound, state: chart.Start(), retry: retryFirst, peers: map[string]*peer{}}
+}
+
+// State returns what this VM does about settings: starting, following or reading.
+func (s *Sync) State() string { return string(s.state) }
+
+// Reader returns the VM whose reading the settings here follow.
+func (s *Sync) Reader() string { return s.source.reader }
+
+// Synced reports whether the settings were complete at some time.
+func (s *Sync) Synced() bool { return s.state != chart.Start() }
+
+// Age returns how long ago the settings here were complete for certain.
+func (s *Sync) Age(now time.Duration) time.Duration { return now - s.certain }
+
+// Fresh reports whether the settings are recent enough to refuse a caller by.
+func (s *Sync) Fresh(now time.Duration) bool {
+	return s.Synced() && s.Age(now) < s.share(takeoverShare)
+}
+
+// Failing reports whether the platform has not answered this VM lately.
+func (s *Sync) Failing() bool { return s.failing }
+
+// Settling reports whether the platform has just come back, so that entries may be
+// missing from it whose writers live.
+func (s *Sync) Settling(now time.Duration) bool {
+	return s.returned > 0 && now-s.returned < settle
+}
+
+// List takes the VMs that the settings name.
+func (s *Sync) List(vms []sparconfig.VM) {
+	for _, p := range s.peers {
+		p.known = false
+	}
+	for _, vm := range vms {
+		if vm.Name == s.self.Name {
+			continue
+		}
+		p := s.peers[vm.Name]
+		if p == nil {
+			p = &peer{}
+			s.peers[vm.Name] = p
+		}
+		p.vm, p.known = vm, true
+	}
+}
+
+// Seeds takes the control addresses to ask while no VM is known.
+func (s *Sync) Seeds(controls []string) {
+	s.seeds = nil
+	for _, control := range controls {
+		if control != s.self.Control {
+			s.seeds = append(s.seeds, &peer{vm: sparconfig.VM{Control: control}})
+		}
+	}
+}
+
+// Holds takes what the registry holds now.
+func (s *Sync) Holds(held Held) {
+	s.held = held
+	if s.wanted.reader != "" && held.Digest == s.wanted.held.Digest {
+		s.confirm(s.wanted.certain, s.wanted.mark)
+		s.wanted = wanted{}
+	}
+}
+
+// Heard takes a notice of a peer.
+func (s *Sync) Heard(n Notice, now time.Duration) []Output {
+	s.alive(n.From, now)
+	outs := []Output{Confirm{To: n.From}}
+	s.yield(n)
+	switch {
+	case s.Synced() && n.Digest == s.held.Digest:
+		s.confirm(now-n.Age, mark{n.Reader, n.Round})
+	case !s.Synced() || n.Revision >= s.held.Revision:
+		return append(outs, s.want(n, now)...)
+	}
+	return append(outs, s.tell(now)...)
+}
+
+// Confirmed takes the word of a peer that a notice arrived.
+func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) { s.alive(vm, now) }
+
+// Pulled takes the outcome of an Ask, after the registry has merged what came. The
+// settings of the peer were complete at the time given; whole says that everything
+// came, so that the registry holds at least what the peer holds.
+func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, digest uint64, whole bool, now time.Duration) []Output {
+	s.alive(from, now)
+	if s.held.Digest == digest || whole {
+		s.confirm(certain, mark{reader: reader})
+	}
+	return s.tell(now)
+}
+
+// want asks a peer for settings that this VM lacks. Where changes alone did not
+// help it asks for everything.
+func (s *Sync) want(n Notice, now time.Duration) []Output {
+	again := n.Digest == s.wanted.held.Digest
+	if again && now-s.askedAt < askEvery {
+		return nil
+	}
+	after := s.held.Revision
+	if again || n.Revision == s.held.Revision || !s.Synced() {
+		after = 0
+	}
+	s.wanted = wanted{
+		mark: mark{n.Reader, n.Round}, held: Held{n.Revision, n.Digest}, certain: now - n.Age,
+	}
+	s.askedAt = now
+	return []Output{Ask{From: n.From, After: after}}
+}
+
+// confirm notes that the settings here were complete at a time.
+func (s *Sync) confirm(at time.Duration, by mark) {
+	if at <= s.certain && s.Synced() {
+		return
+	}
+	s.certain = at
+	s.source = by
+	s.state = chart.Next(s.state, "synced")
+}
+
+// alive notes that a peer was heard.
+func (s *Sync) alive(vm sparconfig.VM, now time.Duration) {
+	if vm.Name == "" || vm.Name == s.self.Name {
+		return
+	}
+	p := s.peers[vm.Name]
+	if p == nil {
+		p = &peer{vm: vm}
+		s.peers[vm.Name] = p
+	}
+	if vm.Control != "" {
+		p.vm = vm
+	}
+	p.heard, p.open = now, 0
+}
+
+func (s *Sync) share(of float64) time.Duration { return time.Duration(of * float64(s.bound)) }
+
+// names returns this VM and its peers, those with the highest weight for slot first.
+func (s *Sync) names(slot int) []string {
+	names := []string{s.self.Name}
+	for name := range s.peers {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		wa, wb := sparrank.Weight(slot, sparrank.Name(a)), sparrank.Weight(slot, sparrank.Name(b))
+		switch {
+		case wa > wb:
+			return -1
+		case wa < wb:
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return names
+}
--- /dev/null
+++ b/internal/member/sparsync/tree.go
@@ -0,0 +1,65 @@
+package sparsync
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+)
+
+const (
+	// fanOut is the number of VMs that one VM tells. 1,400 VMs are five steps away
+	// at most, and a notice of about 120 bytes keeps each far below 1 KB/s.
+	fanOut = 4
+	// deadAfter is the number of notices without an answer after which those below
+	// a VM in the tree are told in its place.
+	deadAfter = 3
+)
+
+// tell passes the latest round of the reader on to the VMs below this one, once.
+func (s *Sync) tell(now time.Duration) []Output {
+	if s.source.round == 0 || s.source == s.relayed || s.wanted.reader != "" {
+		return nil
+	}
+	s.relayed = s.source
+	notice := Notice{
+		From: s.self, Reader: s.source.reader, Round: s.source.round,
+		Revision: s.held.Revision, Digest: s.held.Digest, Age: s.Age(now),
+	}
+	var outs []Output
+	order := s.order()
+	for _, name := range s.below(order, slices.Index(order, s.self.Name)) {
+		p := s.peers[name]
+		p.open++
+		outs = append(outs, Notify{To: p.vm, Notice: notice})
+	}
+	return outs
+}
+
+// order returns the VMs in the order of the tree, its root first. It follows from the
+// reader and the list of VMs, so VMs with the same list agree on it.
+func (s *Sync) order() []string {
+	reader := s.source.reader
+	names := s.names(int(sparrank.Name(reader) >> 33))
+	names = slices.DeleteFunc(names, func(name string) bool {
+		return name == reader || name != s.self.Name && !s.peers[name].known
+	})
+	return append([]string{reader}, names...)
+}
+
+// below returns those that the VM at a position tells: its children, and the
+// children of those that do not answer.
+func (s *Sync) below(order []string, at int) []string {
+	var names []string
+	for child := at*fanOut + 1; child <= at*fanOut+fanOut && child < len(order); child++ {
+		p := s.peers[order[child]]
+		if p == nil {
+			continue
+		}
+		names = append(names, order[child])
+		if p.open >= deadAfter {
+			names = append(names, s.below(order, child)...)
+		}
+	}
+	return names
+}
--- a/internal/operator/sparstatus/status.go
+++ b/internal/operator/sparstatus/status.go
@@ -300,7 +300,7 @@
 }
 
 func (u *use) add(f *sparcontrol.UpstreamFacts) {
-	u.draining = f.Draining
+	u.draining = u.draining || f.Draining
 	u.unrecorded = u.unrecorded || f.Unrecorded
 	u.flows += f.Flows
 	u.until = f.Until
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -14,7 +14,8 @@
 )
 
 type (
-	// Input is a decoded datagram. It is a sealed interface: Report or Message.
+	// Input is a decoded datagram. It is a sealed interface: Report, Message, Told or
+	// Received.
 	Input interface {
 		input()
 	}
@@ -41,8 +42,10 @@
 	}
 )
 
-func (Report) input()  {}
-func (Message) input() {}
+func (Report) input()   {}
+func (Message) input()  {}
+func (Told) input()     {}
+func (Received) input() {}
 
 // EncodeBeat returns a heartbeat in wire form.
 func EncodeBeat(r Report) []byte {
@@ -98,6 +101,11 @@
 		return decodeBeat(body.Beat)
 	case *Datagram_Frame:
 		return decodeFrame(body.Frame)
+	case *Datagram_Notice:
+		return decodeNotice(body.Notice)
+	case *Datagram_Receipt:
+		vm := body.Receipt.GetFrom().ToVM()
+		return Received{From: vm}, sparconfig.CheckName(vm.Name)
 	}
 	return nil, errors.New("no body")
 }
--- /dev/null
+++ b/internal/peer/sparcontrol/notice.go
@@ -0,0 +1,52 @@
+package sparcontrol
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+)
+
+type (
+	// Told is a notice of a peer about its settings.
+	Told struct {
+		Notice sparsync.Notice
+	}
+
+	// Received says that a notice arrived at a peer.
+	Received struct {
+		From sparconfig.VM
+	}
+)
+
+// EncodeNotice returns a notice in wire form.
+func EncodeNotice(n sparsync.Notice) []byte {
+	return marshal(&Datagram{Body: &Datagram_Notice{Notice: &Notice{
+		From: FromVM(n.From), Reader: n.Reader, Round: n.Round,
+		Revision: n.Revision, Digest: n.Digest, Age: uint64(n.Age.Microseconds()),
+	}}})
+}
+
+// EncodeReceipt returns a receipt in wire form.
+func EncodeReceipt(from sparconfig.VM) []byte {
+	return marshal(&Datagram{Body: &Datagram_Receipt{Receipt: &Receipt{From: &VM{Name: from.Name}}}})
+}
+
+func decodeNotice(n *Notice) (told Told, err error) {
+	vm := n.GetFrom().ToVM()
+	if err := sparconfig.CheckName(vm.Name); err != nil {
+		return Told{}, err
+	}
+	if err := vm.Check(); err != nil {
+		return Told{}, err
+	}
+	if n.Reader == "" || n.Round == 0 {
+		return Told{}, errors.New("notice without a reader")
+	}
+	return Told{Notice: sparsync.Notice{
+		From: vm, Reader: n.Reader, Round: n.Round, Revision: n.Revision, Digest: n.Digest,
+		Age: time.Duration(n.Age) * time.Microsecond,
+	}}, nil
+}
--- /dev/null
+++ b/internal/route/sparcookie/forward.go
@@ -0,0 +1,113 @@
+package sparcookie
+
+import (
+	"time"
+)
+
+const (
+	// copyAfter is the least age of an opening whose copy says something about its
+	// upstream. Callers send the first copy after 200 ms.
+	copyAfter = 150 * time.Millisecond
+	// openingLife is how long a caller waits for its flow to open.
+	openingLife = 1500 * time.Millisecond
+)
+
+// Forward decides on a packet from a caller.
+func (e *Engine) Forward(s Segment) Verdict {
+	p := e.paths[s.To]
+	if s.Kind == Opening {
+		return e.open(p, s)
+	}
+	if p == nil {
+		return e.drop(NoRoute)
+	}
+	return e.carry(p, s)
+}
+
+// open decides on an opening.
+func (e *Engine) open(p *path, s Segment) Verdict {
+	if p == nil || !p.live {
+		if !e.fresh {
+			return e.drop(NotFresh)
+		}
+		return e.reset(NoRoute, nil)
+	}
+	key := keyOf(s)
+	f := e.flows[key]
+	if f != nil && !f.opened && e.now-f.began < openingLife {
+		return e.openAgain(p, key, f)
+	}
+	u := e.choose(p, key, nil)
+	if u == nil {
+		return e.reset(NoUpstream, nil)
+	}
+	e.forget(key)
+	e.record(key, &flow{upstream: u, began: e.now, moved: e.now, seen: e.now})
+	return e.send(Placed, u)
+}
+
+// openAgain decides on the copy of an opening that has had no answer. An upstream
+// that answers others meanwhile gets it again, since one of the packets was lost.
+// Otherwise another upstream does; the flow opens at the first whose answer the
+// caller acknowledges.
+func (e *Engine) openAgain(p *path, key flowKey, f *flow) Verdict {
+	u := f.upstream
+	f.seen = e.now
+	if e.now-f.moved < copyAfter || u.heard > f.moved {
+		return e.send(Repeated, u)
+	}
+	e.suspect(u)
+	other := e.choose(p, key, u)
+	if other == nil {
+		return e.send(Repeated, u)
+	}
+	e.forget(key)
+	e.record(key, &flow{upstream: other, began: f.began, moved: e.now, seen: e.now})
+	v := e.send(Moved, other)
+	v.Silent, v.Waited = e.now-u.heard, e.now-f.began
+	return v
+}
+
+// carry decides on a packet of an open flow.
+func (e *Engine) carry(p *path, s Segment) Verdict {
+	key := keyOf(s)
+	f := e.flows[key]
+	u := e.cookies[s.Cookie]
+	if u == nil && f != nil {
+		u = f.upstream
+	}
+	if u == nil {
+		return e.drop(UnknownCookie)
+	}
+	if !p.services[u.Service] {
+		return e.drop(WrongService)
+	}
+	if f == nil || f.upstream != u {
+		e.forget(key)
+		f = &flow{upstream: u, opened: true, began: e.now, moved: e.now, seen: e.now, ack: s.Ack, end: s.Seq}
+		e.record(key, f)
+	}
+	if !p.live {
+		return e.dropped(key, u)
+	}
+	seen := e.observe(f, s)
+	if s.Kind == Finishing || s.Kind == Resetting {
+		e.close(f)
+	}
+	if seen.repeated && u.gone && e.now-max(f.moved, u.heard) >= copyAfter {
+		e.forget(key)
+		return e.reset(UpstreamGone, u)
+	}
+	v := e.send(Carried, u)
+	v.Answered, v.First, v.Unanswered, v.Waited = seen.answered, seen.first, seen.repeated, seen.waited
+	return v
+}
+
+// dropped ends a flow whose route is no more.
+func (e *Engine) dropped(key flowKey, u *upstream) Verdict {
+	if !e.fresh {
+		return e.send(Carried, u)
+	}
+	e.forget(key)
+	return e.reset(RouteDropped, u)
+}
--- /dev/null
+++ b/internal/route/sparcookie/place.go
@@ -0,0 +1,127 @@
+package sparcookie
+
+import (
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+)
+
+const (
+	// trialEvery is the least time between two openings that try an upstream out.
+	trialEvery = 300 * time.Millisecond
+	// warmingShare is the share of new flows of an upstream that has just started.
+	warmingShare = 0.5
+	// spillAt is the number of recent requests per slot from which on upstreams of
+	// other failure domains are weighed too.
+	spillAt = 0.75
+)
+
+// tier is how well an upstream suits an opening; lower is better.
+type tier int
+
+const (
+	tierLocal  tier = iota // healthy, in the failure domain of this VM
+	tierRemote             // healthy, elsewhere
+	tierSilent             // answers nobody as far as seen here
+	tierNone               // takes no openings
+)
+
+// choose returns the best upstream for an opening, or nil where none takes it. It
+// avoids the one given unless that is the only one.
+func (e *Engine) choose(p *path, key flowKey, avoid *upstream) *upstream {
+	service := e.pickService(p, key)
+	if u := e.best(service, key, avoid); u != nil {
+		return u
+	}
+	for _, t := range p.route.Targets {
+		if t.Weight == 0 || t.Service == service {
+			continue
+		}
+		if u := e.best(t.Service, key, avoid); u != nil {
+			return u
+		}
+	}
+	return nil
+}
+
+// pickService draws a service by its share, the same for every copy of an opening.
+func (e *Engine) pickService(p *path, key flowKey) string {
+	total := 0
+	for _, t := range p.route.Targets {
+		total += t.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	draw := int(sparrank.Weight(0, uint64(key.caller)) % uint64(total))
+	for _, t := range p.route.Targets {
+		draw -= t.Weight
+		if draw < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
+
+// best returns the least loaded upstream of the best tier of a service.
+func (e *Engine) best(service string, key flowKey, avoid *upstream) *upstream {
+	var best *upstream
+	var bestScore float64
+	bestTier := tierNone
+	full := e.domainFull(service)
+	for _, u := range e.services[service] {
+		t := e.tierOf(u)
+		if u == avoid || t == tierNone {
+			continue
+		}
+		if t == tierRemote && full {
+			t = tierLocal
+		}
+		score := e.score(u, key)
+		if t < bestTier || t == bestTier && score < bestScore {
+			best, bestScore, bestTier = u, score, t
+		}
+	}
+	if best != nil && !best.health.Opens() || best != nil && best.health.State() == "trial" {
+		best.trialAt = e.now
+	}
+	return best
+}
+
+// tierOf says how well an upstream suits an opening.
+func (e *Engine) tierOf(u *upstream) tier {
+	switch {
+	case u.Draining || u.gone:
+		return tierNone
+	case !u.health.Opens(), u.health.State() == "trial" && e.now-u.trialAt < trialEvery:
+		return tierSilent
+	case u.Domain == e.domain:
+		return tierLocal
+	}
+	return tierRemote
+}
+
+// domainFull reports whether the upstreams of this failure domain have little room
+// left for the requests seen here.
+func (e *Engine) domainFull(service string) bool {
+	requests, slots := 0.0, 0
+	for _, u := range e.services[service] {
+		if e.tierOf(u) == tierLocal {
+			requests += u.recent.value(e.now)
+			slots += u.Slots
+		}
+	}
+	return requests >= spillAt*float64(slots)
+}
+
+// score is the load of an upstream for each request that it can work on at once.
+// The fraction from the flow's rank spreads equal ones over VMs.
+func (e *Engine) score(u *upstream, key flowKey) float64 {
+	load := float64(u.flows) + 2*u.recent.value(e.now)
+	load += float64(sparrank.Weight(int(uint32(key.caller)), u.ID)>>40) / (1 << 24)
+	room := float64(u.Slots)
+	if e.now < u.warmed {
+		room *= warmingShare
+	}
+	return load / room
+}
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -20,18 +20,23 @@
 )
 
 type (
-	// File is the settings file of one entry VM.
+	// File is the settings file of one entry VM. Fields said to be of one carrier are
+	// required with it and refused with the other.
 	File struct {
-		Name     string   `json:"name"`            // unique among the VMs
-		Domain   string   `json:"domain"`          // failure domain
-		Data     string   `json:"data"`            // UDP address for packets
-		Control  string   `json:"control"`         // UDP and TCP address for other VMs, operators and metrics
-		Fabric   string   `json:"fabric"`          // UDP address that packets go back to
-		Platform string   `json:"platform"`        // HTTP address of the key-value service
-		Secret   string   `json:"secret"`          // 32 hexadecimal digits, the same on all VMs
-		Seeds    []string `json:"seeds,omitempty"` // control addresses to learn from while the platform is down
-		Log      string   `json:"log,omitempty"`   // text or json
-		Flows    int      `json:"flows,omitempty"` // flows that the cache holds at most
+		Carrier  string   `json:"carrier,omitempty"` // geneve or cookie: how the fabric hands over packets
+		Name     string   `json:"name"`              // unique among the VMs
+		Domain   string   `json:"domain"`            // failure domain
+		Data     string   `json:"data"`              // UDP address for packets
+		Control  string   `json:"control"`           // UDP and TCP address for other VMs, operators and metrics
+		Fabric   string   `json:"fabric"`            // UDP address that packets go back to; geneve
+		Platform string   `json:"platform"`          // HTTP address of the key-value service
+		Secret   string   `json:"secret"`            // 32 hexadecimal digits, the same on all VMs; geneve
+		Seeds    []string `json:"seeds,omitempty"`   // control addresses to learn from while the platform is down
+		Log      string   `json:"log,omitempty"`     // text or json
+		Flows    int      `json:"flows,omitempty"`   // flows that the cache holds at most
+		Ready    string   `json:"ready,omitempty"`   // HTTP address that the fabric asks whether to send packets; cookie
+		Force    int64    `json:"force,omitempty"`   // milliseconds within which settings must be in force everywhere; cookie
+		Grace    int64    `json:"grace,omitempty"`   // seconds from SIGTERM to the kill; cookie
 	}
 
 	// VM is one entry of the platform's list of VMs.
@@ -48,7 +53,20 @@
 	// DefaultFlows is the number of flows that the cache of a VM holds.
 	DefaultFlows = 400_000
 
+	// Geneve is the carrier of a fabric that wraps packets and leaves flows to owners.
+	Geneve = "geneve"
+	// Cookie is the carrier of a fabric whose ends echo a cookie.
+	Cookie = "cookie"
+
+	// DefaultForce is the time, in milliseconds, within which settings are in force.
+	DefaultForce = 3000
+	// DefaultGrace is the time, in seconds, from SIGTERM to the kill.
+	DefaultGrace = 6
+
 	secretDigits = 32
+	minForce     = 500
+	maxForce     = 60_000
+	maxGrace     = 600
 )
 
 // ReadFile reads and checks a settings file. The error names the file.
@@ -73,7 +91,7 @@
 	return f.withDefaults(), f.check()
 }
 
-// Keys returns the two halves of the secret.
+// Keys returns the two halves of the secret, which the carrier geneve has.
 func (f File) Keys() (k0, k1 uint64) {
 	k0, _ = strconv.ParseUint(f.Secret[:secretDigits/2], 16, 64)
 	k1, _ = strconv.ParseUint(f.Secret[secretDigits/2:], 16, 64)
@@ -92,6 +110,18 @@
 	if f.Flows == 0 {
 		f.Flows = DefaultFlows
 	}
+	if f.Carrier == "" {
+		f.Carrier = Geneve
+	}
+	if f.Carrier != Cookie {
+		return f
+	}
+	if f.Force == 0 {
+		f.Force = DefaultForce
+	}
+	if f.Grace == 0 {
+		f.Grace = DefaultGrace
+	}
 	return f
 }
 
@@ -102,8 +132,11 @@
 	if err := CheckName(f.Domain); err != nil {
 		return errors.Annotate(err, "domain")
 	}
+	if err := f.checkCarrier(); err != nil {
+		return err
+	}
 	addresses := []struct{ name, value string }{
-		{"data", f.Data}, {"control", f.Control}, {"fabric", f.Fabric}, {"platform", f.Platform},
+		{"data", f.Data}, {"control", f.Control}, {"platform", f.Platform},
 	}
 	for _, a := range addresses {
 		if err := checkAddress(a.value); err != nil {
@@ -115,9 +148,6 @@
 			return errors.Annotatef(err, "seeds[%d]", i)
 		}
 	}
-	if len(f.Secret) != secretDigits || strings.Trim(f.Secret, "0123456789abcdefABCDEF") != "" {
-		return errors.Errorf("secret: expected %d hexadecimal digits", secretDigits)
-	}
 	if f.Log != "" && f.Log != "text" && f.Log != "json" {
 		return errors.Errorf("log: %q, expected text or json", f.Log)
 	}
@@ -127,6 +157,46 @@
 	return nil
 }
 
+// checkCarrier checks the fields that belong to one carrier.
+func (f File) checkCarrier() error {
+	switch f.Carrier {
+	case Geneve:
+		return f.checkGeneve()
+	case Cookie:
+		return f.checkCookie()
+	}
+	return errors.Errorf("carrier: %q, expected %s or %s", f.Carrier, Geneve, Cookie)
+}
+
+func (f File) checkGeneve() error {
+	if f.Ready != "" || f.Force != 0 || f.Grace != 0 {
+		return errors.Errorf("ready, force, grace: expected only with the carrier %s", Cookie)
+	}
+	if err := checkAddress(f.Fabric); err != nil {
+		return errors.Annotate(err, "fabric")
+	}
+	if len(f.Secret) != secretDigits || strings.Trim(f.Secret, "0123456789abcdefABCDEF") != "" {
+		return errors.Errorf("secret: expected %d hexadecimal digits", secretDigits)
+	}
+	return nil
+}
+
+func (f File) checkCookie() error {
+	if f.Fabric != "" || f.Secret != "" {
+		return errors.Errorf("fabric, secret: expected only with the carrier %s", Geneve)
+	}
+	if err := checkAddress(f.Ready); err != nil {
+		return errors.Annotate(err, "ready")
+	}
+	if f.Force < minForce || f.Force > maxForce {
+		return errors.Errorf("force: %d, expected %d to %d milliseconds", f.Force, minForce, maxForce)
+	}
+	if f.Grace < 1 || f.Grace > maxGrace {
+		return errors.Errorf("grace: %d, expected 1 to %d seconds", f.Grace, maxGrace)
+	}
+	return nil
+}
+
 func checkAddress(s string) error {
 	ap, err := netip.ParseAddrPort(s)
 	if err != nil || !ap.Addr().Is4() || ap.Port() == 0 {
@@ -147,19 +217,34 @@
 	return text
 }
 
+// ParseVM reads the entry of the VM called name.
+func ParseVM(name string, text []byte) (v VM, err error) {
+	if err := decode(text, &v); err != nil {
+		return VM{}, err
+	}
+	v.Name = name
+	if err := CheckName(v.Name); err != nil {
+		return VM{}, err
+	}
+	return v, v.Check()
+}
+
+// Check returns an error unless the addresses of v can be used.
+func (v VM) Check() error {
+	if err := checkAddress(v.Data); err != nil {
+		return errors.Annotate(err, "data")
+	}
+	return errors.Annotate(checkAddress(v.Control), "control")
+}
+
 // VMs returns the platform's list of VMs. Entries that cannot be read are left out.
 func VMs(r sparregistry.Registry) []VM {
 	var list []VM
 	for _, e := range r.Under(vmPrefix) {
-		var v VM
-		if err := decode(e.Value, &v); err != nil {
-			continue
-		}
-		v.Name = strings.TrimPrefix(e.Key, vmPrefix)
-		if CheckName(v.Name) != nil || checkAddress(v.Data) != nil || checkAddress(v.Control) != nil {
-			continue
+		v, err := ParseVM(strings.TrimPrefix(e.Key, vmPrefix), e.Value)
+		if err == nil {
+			list = append(list, v)
 		}
-		list = append(list, v)
 	}
 	return list
 }
--- /dev/null
+++ b/internal/settings/sparroster/roster.go
@@ -0,0 +1,159 @@
+// Package sparroster holds the settings of a fabric whose platform lists routes,
+// upstreams and VMs: who may serve what, and where.
+//
+// The platform's own form is decoded at its edge into facts, one for each key. A
+// Roster is built from the facts of a registry and is immutable:
+//
+//	roster := sparroster.New(registry, platform.Decode)
+//	route, ok := roster.Route(address)
+//
+// An entry that cannot be read is left out and listed in Problems; the others hold.
+package sparroster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+)
+
+const (
+	// RoutingKey is the registry key of the routes.
+	RoutingKey = "routing"
+	// UpstreamPrefix begins the registry keys of upstreams, followed by their id.
+	UpstreamPrefix = "upstream/"
+	// VMPrefix begins the registry keys of VMs, followed by their name.
+	VMPrefix = "vm/"
+
+	// DefaultIdle is how long a flow may be silent where the routing does not say.
+	DefaultIdle = 15 * time.Second
+)
+
+type (
+	// Fact is what one key says. It is a sealed interface: Routing, Upstream or VM.
+	Fact interface {
+		fact()
+	}
+
+	// Decoder reads the value of a registry key in the platform's form.
+	Decoder func(key string, value []byte) (Fact, error)
+
+	// Routing is the configuration of the operator.
+	Routing struct {
+		Version uint64
+		Routes  []Route
+		Idle    time.Duration // silence after which a flow may be forgotten
+	}
+
+	// Route says which services take the flows to one address.
+	Route struct {
+		Name       string
+		Address    sparflow.Endpoint // what callers connect to
+		Targets    []Target
+		Repeatable bool          // its requests are idempotent
+		Aim        time.Duration // latency objective of a request
+		Timeout    time.Duration // end of the caller's patience
+		Priority   int           // 0 is the most urgent
+	}
+
+	// Target is a service with its share of new flows.
+	Target struct {
+		Service string
+		Weight  int // 0 takes no new flows
+	}
+
+	// Upstream is one server as it lists itself.
+	Upstream struct {
+		ID       uint64 // names the server in packets to it
+		Service  string
+		At       sparflow.Endpoint
+		Domain   string
+		Slots    int // requests that it works on at once
+		Draining bool
+		Warm     time.Duration // how much longer it is slow after its start
+		Born     int64         // Unix milliseconds of its start, 0 where it does not say
+	}
+
+	// VM is one entry VM.
+	VM struct {
+		sparconfig.VM
+	}
+
+	// Problem is an entry that was left out.
+	Problem struct {
+		Key      string
+		Revision uint64
+		Cause    string
+	}
+
+	// Roster is the settings in force. The zero Roster is empty.
+	Roster struct {
+		Revision  uint64
+		Digest    uint64
+		Routing   Routing
+		Upstreams []Upstream // by id
+		VMs       []sparconfig.VM
+		Problems  []Problem
+
+		routes map[sparflow.Endpoint]Route
+	}
+)
+
+func (Routing) fact()  {}
+func (Upstream) fact() {}
+func (VM) fact()       {}
+
+// New returns the roster that the live entries of a registry make up.
+func New(registry sparregistry.Registry, decode Decoder) Roster {
+	r := Roster{
+		Revision: registry.Revision(), Digest: registry.Digest(),
+		Routing: Routing{Idle: DefaultIdle}, routes: map[sparflow.Endpoint]Route{},
+	}
+	for _, e := range registry.Under("") {
+		fact, err := decode(e.Key, e.Value)
+		if err != nil {
+			r.Problems = append(r.Problems, Problem{Key: e.Key, Revision: e.Revision, Cause: err.Error()})
+			continue
+		}
+		switch fact := fact.(type) {
+		case Routing:
+			r.Routing = fact
+		case Upstream:
+			r.Upstreams = append(r.Upstreams, fact)
+		case VM:
+			r.VMs = append(r.VMs, fact.VM)
+		}
+	}
+	for _, route := range r.Routing.Routes {
+		r.routes[route.Address] = route
+	}
+	slices.SortFunc(r.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(r.VMs, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
+	return r
+}
+
+// Route returns the route of an address.
+func (r Roster) Route(at sparflow.Endpoint) (route Route, ok bool) {
+	route, ok = r.routes[at]
+	return route, ok
+}
+
+// Addresses returns the addresses that have a route, in order.
+func (r Roster) Addresses() []sparflow.Endpoint {
+	return slices.Sorted(maps.Keys(r.routes))
+}
+
+// Takes reports whether the route lists the service, whatever its share.
+func (r Route) Takes(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
+// ErrUnknownKey is the cause of a decoder's refusal of a key that it has no form for.
+const ErrUnknownKey = errors.ConstError("no such kind of key")
--- /dev/null
+++ b/internal/vm/sparentry/entry.go
@@ -0,0 +1,252 @@
+// Package sparentry runs one entry VM on a fabric that echoes a cookie: the sockets,
+// timers and calls around the decisions of sparcookie and sparsync.
+//
+// Each duty has a goroutine of its own, a thread, joined to the others by bounded
+// rings. One thread decides and owns all state; the others only move bytes:
+//
+//	intake ──packets──▶ decide ──▶ data socket
+//	listener ─inputs──▶   │  ◀──asks──── twirp handlers
+//	reader ───inputs──▶   ├───reads──▶ reader, registrar
+//	puller ───inputs──▶   └───pulls──▶ puller
+//
+//	vm, err := sparentry.New(file, log)
+//	err = vm.Run(ctx, reload) // returns once the fabric has left this VM
+package sparentry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
+	"github.com/oleanderspar/oleanderspar/platform"
+)
+
+const (
+	packetRing = 4096
+	inputRing  = 1024
+	askRing    = 64
+	pullRing   = 16
+
+	socketBuffer = 4 << 20
+
+	// tickEvery is how often time is acted on: a fraction of the 200 ms after which
+	// a caller repeats a packet.
+	tickEvery = 50 * time.Millisecond
+
+	// leaveAfter is how long packets still come after the fabric is told to leave:
+	// two probes of 500 ms that fail, and what is under way.
+	leaveAfter = 1800 * time.Millisecond
+)
+
+type (
+	// Store is what a VM needs of the platform.
+	Store interface {
+		// List reads every key, linearizably.
+		List(ctx context.Context) (platform.Reading, error)
+		// Put writes an entry that is still at its revision, 0 meaning absent.
+		Put(ctx context.Context, e sparregistry.Entry) error
+		// Calls returns the number of calls made so far.
+		Calls() uint64
+	}
+
+	// VM is one running entry VM. Use New.
+	VM struct {
+		file  sparconfig.File
+		log   *logrus.Entry
+		store Store
+
+		data    *net.UDPConn
+		control *net.UDPConn
+		web     net.Listener
+		probe   net.Listener
+		port    uint16 // of callers, for packets back to them
+
+		packets *sparring.Ring[*packet]
+		inputs  *sparring.Ring[input]
+		asks    *sparring.Ring[ask]
+		pulls   *sparring.Ring[pull]
+		reads   *sparring.Ring[time.Duration]
+		writes  *sparring.Ring[sparregistry.Entry]
+		buffers sync.Pool
+		ready   atomic.Bool
+
+		began     time.Time
+		clock     clock
+		engine    *sparcookie.Engine
+		sync      *sparsync.Sync
+		registry  sparregistry.Registry
+		timeline  *spartimeline.Ring
+		stamps    spartimeline.Clock
+		metrics   *metrics
+		listed    listing
+		synced    bool
+		reachable bool // the platform answered this VM last
+		age       time.Duration
+		stopping  time.Time
+	}
+
+	// listing is the entry that this VM keeps in the platform.
+	listing struct {
+		busy bool
+		at   time.Duration // last try
+	}
+)
+
+// New opens the sockets of the VM.
+func New(file sparconfig.File, store Store, log *logrus.Logger) (vm *VM, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Annotatef(err, "VM %s", file.Name)
+		}
+	}()
+	vm = &VM{
+		file: file, log: log.WithField("vm", file.Name), store: store, began: time.Now(),
+		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
+		asks: sparring.New[ask](askRing), pulls: sparring.New[pull](pullRing),
+		reads: sparring.New[time.Duration](1), writes: sparring.New[sparregistry.Entry](1),
+		engine:   sparcookie.New(file.Domain, file.Flows),
+		sync:     sparsync.New(file.VM(), time.Duration(file.Force)*time.Millisecond),
+		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
+		reachable: true,
+	}
+	vm.buffers.New = func() any { return new(packet) }
+	if vm.clock, err = newClock(); err != nil {
+		return nil, err
+	}
+	vm.sync.Seeds(file.Seeds)
+	vm.port = netip.MustParseAddrPort(file.Data).Port()
+	return vm, vm.open()
+}
+
+func (vm *VM) open() (err error) {
+	if vm.data, err = listenUDP(vm.file.Data); err != nil {
+		return err
+	}
+	if vm.control, err = listenUDP(vm.file.Control); err != nil {
+		return err
+	}
+	if vm.web, err = net.Listen("tcp4", vm.file.Control); err != nil {
+		return err
+	}
+	vm.probe, err = net.Listen("tcp4", vm.file.Ready)
+	return err
+}
+
+func listenUDP(address string) (conn *net.UDPConn, err error) {
+	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadBuffer(socketBuffer) // the kernel may allow less
+	return conn, nil
+}
+
+// Run serves until ctx ends, then goes on until the fabric has left and returns. A
+// value on reload brings new settings.
+func (vm *VM) Run(ctx context.Context, reload <-chan sparconfig.File) (err error) {
+	threads, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group := pool.New().WithContext(threads).WithCancelOnError().WithFirstError()
+	group.Go(func(context.Context) error { return vm.intake() })
+	group.Go(func(context.Context) error { return vm.listen() })
+	group.Go(vm.reader)
+	group.Go(vm.registrar)
+	group.Go(vm.puller)
+	group.Go(vm.serveControl)
+	group.Go(vm.serveProbes)
+	group.Go(func(threads context.Context) error {
+		defer cancel()
+		return vm.decide(threads, ctx, reload)
+	})
+	group.Go(func(threads context.Context) error {
+		<-threads.Done()
+		vm.close()
+		return nil
+	})
+	vm.logStart()
+	err = group.Wait()
+	vm.logStop(err)
+	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// close ends the sockets. Their threads see net.ErrClosed and end.
+func (vm *VM) close() {
+	for _, c := range []interface{ Close() error }{vm.data, vm.control, vm.web, vm.probe, vm.metrics.set} {
+		_ = c.Close() // nothing is left to be lost
+	}
+}
+
+// decide is the thread that owns the state.
+func (vm *VM) decide(threads, stop context.Context, reload <-chan sparconfig.File) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	stopping := stop.Done()
+	vm.tick()
+	for {
+		select {
+		case p := <-vm.packets.Out():
+			vm.forward(p)
+		case in := <-vm.inputs.Out():
+			vm.take(in)
+		case a := <-vm.asks.Out():
+			a.answer(vm)
+		case file := <-reload:
+			vm.reload(file)
+		case <-ticker.C:
+			vm.tick()
+			if !vm.stopping.IsZero() && time.Since(vm.stopping) > vm.leaveAfter() {
+				return nil
+			}
+		case <-stopping:
+			stopping = nil
+			vm.stopping = time.Now()
+			vm.ready.Store(false)
+			vm.logLeaving()
+		case <-threads.Done():
+			return nil
+		}
+	}
+}
+
+// leaveAfter returns how long to go on after SIGTERM, well before the kill.
+func (vm *VM) leaveAfter() time.Duration {
+	return min(leaveAfter, time.Duration(vm.file.Grace)*time.Second/2)
+}
+
+// reload takes the settings that may change while the VM runs. Addresses stay.
+func (vm *VM) reload(file sparconfig.File) {
+	vm.file.Seeds, vm.file.Grace = file.Seeds, file.Grace
+	vm.sync.Seeds(file.Seeds)
+	vm.logReload()
+}
+
+// tick does what time makes due.
+func (vm *VM) tick() {
+	now := vm.clock.now()
+	vm.engine.Advance(time.Since(vm.began))
+	vm.engine.Fresh(vm.sync.Fresh(now))
+	vm.age = vm.sync.Age(now)
+	vm.engine.Tick()
+	state := vm.sync.State()
+	vm.perform(vm.sync.Tick(now), now)
+	vm.register(now)
+	vm.logState(state)
+	vm.logEvents()
+	vm.metrics.publish(vm)
+}
--- /dev/null
+++ b/internal/vm/sparentry/facts.go
@@ -0,0 +1,58 @@
+package sparentry
+
+import (
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+// States of a VM, as status tells them.
+const (
+	stateStarting = "starting"
+	stateServing  = "serving"
+	stateLeaving  = "leaving"
+)
+
+// facts returns what this VM knows about itself at this moment.
+func (vm *VM) facts() *sparcontrol.FactsReply {
+	roster := vm.engine.Roster()
+	facts := &sparcontrol.FactsReply{
+		Vm: sparcontrol.FromVM(vm.file.VM()), State: vm.state(), Incarnation: uint64(vm.began.UnixMilli()),
+		Revision: roster.Revision, Digest: roster.Digest, Settled: true, Members: uint32(len(roster.VMs)),
+		Platform: vm.reachable,
+	}
+	routing, _ := vm.registry.Get(sparroster.RoutingKey)
+	services := map[string]*sparcontrol.ServiceFacts{}
+	for _, use := range vm.engine.Uses() {
+		s := services[use.Upstream.Service]
+		if s == nil {
+			s = &sparcontrol.ServiceFacts{Name: use.Upstream.Service, Revision: routing.Revision}
+			services[s.Name] = s
+			facts.Services = append(facts.Services, s)
+		}
+		s.Upstreams = append(s.Upstreams, upstreamFacts(use))
+	}
+	for _, p := range roster.Problems {
+		facts.Problems = append(facts.Problems, &sparcontrol.ProblemFacts{Service: p.Key, Revision: p.Revision, Cause: p.Cause})
+	}
+	return facts
+}
+
+// upstreamFacts never claims that an upstream has drained: other flows of it may be
+// silent, and no VM keeps a list of all.
+func upstreamFacts(use sparcookie.Use) *sparcontrol.UpstreamFacts {
+	return &sparcontrol.UpstreamFacts{
+		At: uint64(use.Upstream.At), Draining: use.Upstream.Draining, Flows: uint32(use.Flows),
+		Healthy: use.Healthy, Unrecorded: true,
+	}
+}
+
+func (vm *VM) state() string {
+	switch {
+	case !vm.stopping.IsZero():
+		return stateLeaving
+	case !vm.synced:
+		return stateStarting
+	}
+	return stateServing
+}
--- /dev/null
+++ b/internal/vm/sparentry/log.go
@@ -0,0 +1,176 @@
+package sparentry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+// logVerdict writes a line for each decision beyond passing a packet on. The flow
+// names the request: a caller logs the ends of the connection that carried it.
+func (vm *VM) logVerdict(s sparcookie.Segment, v sparcookie.Verdict) {
+	if v.Answered {
+		vm.metrics.answered(v.First, v.Waited)
+	}
+	if v.Cause == sparcookie.Carried && !v.Unanswered {
+		return
+	}
+	fields := vm.flowFields(s, v)
+	switch v.Cause {
+	case sparcookie.Carried:
+		vm.log.WithFields(fields).Info("data repeated")
+	case sparcookie.Placed:
+		vm.log.WithFields(fields).Info("opening")
+	case sparcookie.Repeated, sparcookie.Moved:
+		fields["copy"] = s.Ack
+		vm.log.WithFields(fields).Info("opening again")
+	default:
+		fields["cookie"] = fmt.Sprintf("%08x", uint32(s.Cookie))
+		vm.log.WithFields(fields).Warn("flow refused")
+	}
+}
+
+func (vm *VM) flowFields(s sparcookie.Segment, v sparcookie.Verdict) logrus.Fields {
+	roster := vm.engine.Roster()
+	fields := logrus.Fields{
+		"flow": s.From.String() + ">" + s.To.String(), "do": v.Action.String(), "cause": v.Cause.String(),
+		"version": roster.Routing.Version, "revision": roster.Revision, "age_ms": vm.age.Milliseconds(),
+	}
+	if v.ID != 0 {
+		fields["upstream"] = fmt.Sprintf("%x", v.ID)
+		fields["at"] = v.At.String()
+		fields["silent_ms"] = v.Silent.Milliseconds()
+	}
+	if v.Waited > 0 {
+		fields["waited_ms"] = v.Waited.Milliseconds()
+	}
+	return fields
+}
+
+func (vm *VM) logBadPacket(err error, size int) {
+	vm.log.WithFields(logrus.Fields{"cause": err.Error(), "bytes": size}).Warn("packet refused")
+}
+
+// logEvents writes what this VM has come to believe of upstreams.
+func (vm *VM) logEvents() {
+	for _, event := range vm.engine.Events() {
+		switch e := event.(type) {
+		case sparcookie.UpstreamListed:
+			vm.belief("upstream listed", e.Upstream, logrus.Fields{"draining": e.Upstream.Draining, "warm_ms": e.Upstream.Warm.Milliseconds()})
+		case sparcookie.UpstreamLeft:
+			vm.belief("upstream left", e.Upstream, nil)
+		case sparcookie.UpstreamJudged:
+			vm.belief("upstream "+e.State, e.Upstream, logrus.Fields{"silent_ms": e.Silent.Milliseconds()})
+		}
+	}
+}
+
+func (vm *VM) belief(what string, u sparroster.Upstream, fields logrus.Fields) {
+	vm.log.WithFields(fields).WithFields(logrus.Fields{
+		"upstream": fmt.Sprintf("%x", u.ID), "at": u.At.String(), "service": u.Service, "domain": u.Domain,
+		"revision": vm.registry.Revision(), "age_ms": vm.age.Milliseconds(),
+	}).Info(what)
+	vm.note(what, u.Service, u.At.String(), 0)
+}
+
+func (vm *VM) note(kind, service, subject string, count int) {
+	vm.timeline.Add(spartimeline.Event{
+		At: vm.stamps.Next(time.Now()), VM: vm.file.Name, Kind: kind, Service: service, Subject: subject, Count: count,
+	})
+}
+
+// logSettings writes what is in force now and which entries were left out.
+func (vm *VM) logSettings(before, now sparroster.Roster, source string) {
+	vm.log.WithFields(logrus.Fields{
+		"revision": now.Revision, "before": before.Revision, "version": now.Routing.Version, "source": source,
+		"routes": len(now.Routing.Routes), "upstreams": len(now.Upstreams), "vms": len(now.VMs),
+	}).Info("settings in force")
+	vm.note("in-force", "", source, int(now.Revision))
+	known := map[sparroster.Problem]bool{}
+	for _, p := range before.Problems {
+		known[p] = true
+	}
+	for _, p := range now.Problems {
+		if !known[p] {
+			vm.log.WithFields(logrus.Fields{"key": p.Key, "revision": p.Revision, "cause": p.Cause}).Warn("entry left out")
+		}
+	}
+}
+
+// logState writes a change of who reads the platform, as far as this VM has a part.
+func (vm *VM) logState(before string) {
+	now := vm.sync.State()
+	if now == before {
+		return
+	}
+	vm.log.WithFields(logrus.Fields{
+		"before": before, "now": now, "reader": vm.sync.Reader(), "age_ms": vm.age.Milliseconds(),
+	}).Info("settings role")
+	vm.note("settings-"+now, "", vm.sync.Reader(), 0)
+}
+
+// logStore writes when the platform is lost and regained, as seen from here.
+func (vm *VM) logStore(err error) {
+	reachable := err == nil
+	if err != nil {
+		vm.log.WithFields(logrus.Fields{"cause": shortError(err), "age_ms": vm.age.Milliseconds()}).Warn("platform call failed")
+	}
+	if reachable == vm.reachable {
+		return
+	}
+	vm.reachable = reachable
+	what := map[bool]string{true: "dependency regained", false: "dependency lost"}[reachable]
+	vm.log.WithFields(logrus.Fields{"dependency": "platform", "at": vm.file.Platform, "age_ms": vm.age.Milliseconds()}).Warn(what)
+	vm.note(what, "", "platform", 0)
+}
+
+func (vm *VM) logPullFailed(p pull, err error) {
+	vm.log.WithFields(logrus.Fields{
+		"peer": p.ask.From.Name, "at": p.ask.From.Control, "cause": shortError(err), "age_ms": vm.age.Milliseconds(),
+	}).Warn("peer did not answer")
+}
+
+func (vm *VM) logListFailed(err error) {
+	vm.log.WithFields(logrus.Fields{"cause": shortError(err)}).Warn("listing this VM failed, tried again")
+}
+
+func (vm *VM) logRetained(n int) {
+	vm.log.WithFields(logrus.Fields{"upstreams": n}).Warn("missing upstreams kept while the platform settles")
+}
+
+func (vm *VM) logStart() {
+	vm.log.WithFields(logrus.Fields{
+		"data": vm.file.Data, "control": vm.file.Control, "ready": vm.file.Ready, "platform": vm.file.Platform,
+		"domain": vm.file.Domain, "force_ms": vm.file.Force, "grace_s": vm.file.Grace,
+	}).Info("start")
+	vm.note("started", "", "", 0)
+}
+
+func (vm *VM) logReady() {
+	vm.log.WithFields(logrus.Fields{
+		"calls": vm.store.Calls(), "took_ms": time.Since(vm.began).Milliseconds(), "revision": vm.registry.Revision(),
+	}).Info("ready")
+}
+
+func (vm *VM) logLeaving() {
+	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "for_ms": vm.leaveAfter().Milliseconds()}).Info("leaving")
+	vm.note("leaving", "", "", 0)
+}
+
+func (vm *VM) logReload() {
+	vm.log.WithFields(logrus.Fields{"seeds": len(vm.file.Seeds), "grace_s": vm.file.Grace}).Info("reload")
+	vm.note("reload", "", "", 0)
+}
+
+func (vm *VM) logStop(err error) {
+	fields := logrus.Fields{"calls": vm.store.Calls(), "ran_ms": time.Since(vm.began).Milliseconds()}
+	if err != nil {
+		fields["cause"] = err.Error()
+	}
+	vm.log.WithFields(fields).Info("stop")
+}
--- /dev/null
+++ b/internal/vm/sparentry/metrics.go
@@ -0,0 +1,87 @@
+package sparentry
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+)
+
+// surveyClient asks other VMs for their facts; the request's context bounds it.
+var surveyClient = &http.Client{}
+
+// latencyBuckets span a flow inside a failure domain to a caller's whole patience.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// metrics holds the counts of one VM and publishes them.
+type metrics struct {
+	set        *sparmetrics.Set
+	published  time.Time
+	last       sparcookie.Stats
+	badPackets map[string]int64
+	unread     atomic.Uint64 // datagrams that the kernel could not hand over
+	unsent     atomic.Uint64 // datagrams that the kernel refused
+	badControl atomic.Uint64
+	control    atomic.Uint64 // bytes of control datagrams sent
+	counted    map[string]uint64
+}
+
+func newMetrics() *metrics {
+	return &metrics{set: sparmetrics.New(), badPackets: map[string]int64{}, counted: map[string]uint64{}}
+}
+
+// refusePacket counts a datagram that is no packet of a caller.
+func (m *metrics) refusePacket(err error) { m.badPackets[err.Error()]++ }
+
+// publish brings the metrics up to date about once a second.
+func (m *metrics) publish(vm *VM) {
+	now := time.Now()
+	if now.Sub(m.published) < sparmetrics.PublishEvery {
+		return
+	}
+	m.published = now
+	m.publishVerdicts(vm.engine.Stats())
+	for cause, n := range m.badPackets {
+		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
+	}
+	clear(m.badPackets)
+	m.count("platform_calls", vm.store.Calls())
+	m.count("control_bytes", m.control.Load())
+	m.count("refused_control", m.badControl.Load())
+	m.count("unread_datagrams", m.unread.Load())
+	m.count("unsent_datagrams", m.unsent.Load())
+	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.asks.Refused())
+	roster := vm.engine.Roster()
+	m.set.Scope.Gauge("settings_revision").Update(float64(roster.Revision))
+	m.set.Scope.Gauge("settings_version").Update(float64(roster.Routing.Version))
+	m.set.Scope.Gauge("settings_age_seconds").Update(vm.age.Seconds())
+	m.set.Scope.Gauge("flows").Update(float64(vm.engine.Flows()))
+}
+
+func (m *metrics) publishVerdicts(stats sparcookie.Stats) {
+	for _, c := range sparcookie.Causes() {
+		if n := stats.Verdicts[c] - m.last.Verdicts[c]; n > 0 {
+			m.set.Scope.Tagged(map[string]string{"cause": c.String()}).Counter("packets").Inc(int64(n))
+		}
+	}
+	m.last = stats
+}
+
+// count publishes a count that only rises.
+func (m *metrics) count(name string, now uint64) {
+	m.set.Scope.Counter(name).Inc(int64(now - m.counted[name]))
+	m.counted[name] = now
+}
+
+// answered records how long a caller waited for the first sign of an answer.
+func (m *metrics) answered(opening bool, waited time.Duration) {
+	name := "answer_seconds"
+	if opening {
+		name = "opening_seconds"
+	}
+	m.set.Scope.Histogram(name, latencyBuckets).RecordDuration(waited)
+}
--- /dev/null
+++ b/internal/vm/sparentry/packets.go
@@ -0,0 +1,73 @@
+package sparentry
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/platform"
+)
+
+// packet is one datagram between threads. Its bytes begin behind room for the tag.
+type packet struct {
+	buffer [platform.TagBytes + platform.MaxBytes + 1]byte
+	size   int // without the tag
+}
+
+// bytes returns the packet as it arrived.
+func (p *packet) bytes() []byte { return p.buffer[platform.TagBytes : platform.TagBytes+p.size] }
+
+// intake is the thread that reads the data socket.
+func (vm *VM) intake() error {
+	for {
+		p := vm.buffers.Get().(*packet)
+		size, _, err := vm.data.ReadFromUDPAddrPort(p.buffer[platform.TagBytes:])
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			vm.metrics.unread.Add(1) // an earlier datagram was refused; the socket goes on
+			vm.buffers.Put(p)
+			continue
+		}
+		p.size = size
+		if !vm.packets.Put(p) {
+			vm.buffers.Put(p) // counted by the ring
+		}
+	}
+}
+
+// forward decides on one packet and sends what follows from it.
+func (vm *VM) forward(p *packet) {
+	defer vm.buffers.Put(p)
+	s, err := platform.Parse(p.bytes())
+	if err != nil {
+		vm.metrics.refusePacket(err)
+		vm.logBadPacket(err, p.size)
+		return
+	}
+	vm.engine.Advance(time.Since(vm.began))
+	v := vm.engine.Forward(s)
+	switch v.Action {
+	case sparcookie.ToUpstream:
+		platform.Address(p.buffer[:], v.ID, v.Cookie)
+		vm.send(p.buffer[:platform.TagBytes+p.size], v.At)
+	case sparcookie.Reset:
+		vm.send(platform.Reset(p.buffer[:], s), sparflow.MakeEndpoint(s.From.IP(), vm.port))
+	case sparcookie.Drop:
+	}
+	vm.logVerdict(s, v)
+}
+
+// send writes a datagram. One that is lost is sent again by its author.
+func (vm *VM) send(b []byte, to sparflow.Endpoint) {
+	ip := to.IP()
+	address := netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)})
+	if _, err := vm.data.WriteToUDPAddrPort(b, netip.AddrPortFrom(address, to.Port())); err != nil {
+		vm.metrics.unsent.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/vm/sparentry/settings.go
@@ -0,0 +1,249 @@
+package sparentry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+	"github.com/oleanderspar/oleanderspar/platform"
+)
+
+// listEvery is the least time between two tries to list this VM.
+const listEvery = time.Second
+
+type (
+	// input is what other threads tell the deciding one. It is a sealed interface.
+	input interface {
+		input()
+	}
+
+	// heard is a datagram of a peer.
+	heard struct {
+		datagram sparcontrol.Input
+	}
+
+	// read is the outcome of a reading of the platform.
+	read struct {
+		began   time.Duration
+		reading platform.Reading
+		err     error
+	}
+
+	// pulled is the outcome of a pull from a peer.
+	pulled struct {
+		pull  pull
+		reply *sparcontrol.PullReply
+		err   error
+	}
+
+	// wrote is the outcome of listing this VM.
+	wrote struct {
+		err error
+	}
+
+	// pull is a question to a peer for its settings.
+	pull struct {
+		ask   sparsync.Ask
+		began time.Duration
+	}
+)
+
+func (heard) input()  {}
+func (read) input()   {}
+func (pulled) input() {}
+func (wrote) input()  {}
+
+// take acts on what another thread tells.
+func (vm *VM) take(in input) {
+	now := vm.clock.now()
+	vm.engine.Advance(time.Since(vm.began))
+	state := vm.sync.State()
+	switch in := in.(type) {
+	case heard:
+		vm.hear(in.datagram, now)
+	case read:
+		vm.takeReading(in, now)
+	case pulled:
+		vm.takePull(in, now)
+	case wrote:
+		vm.listed.busy = false
+		if in.err != nil {
+			vm.logListFailed(in.err)
+		}
+	}
+	vm.logState(state)
+	vm.logEvents()
+}
+
+func (vm *VM) hear(datagram sparcontrol.Input, now time.Duration) {
+	switch d := datagram.(type) {
+	case sparcontrol.Told:
+		vm.perform(vm.sync.Heard(d.Notice, now), now)
+	case sparcontrol.Received:
+		vm.sync.Confirmed(d.From, now)
+	default:
+		vm.metrics.badControl.Add(1) // of VMs of another carrier
+	}
+	vm.age = vm.sync.Age(now)
+}
+
+func (vm *VM) takeReading(in read, now time.Duration) {
+	if in.err != nil {
+		vm.sync.ReadFailed(now)
+		vm.logStore(in.err)
+		return
+	}
+	vm.logStore(nil)
+	entries := in.reading.Entries
+	if vm.sync.Failing() || vm.sync.Settling(now) {
+		entries = vm.retain(entries)
+	}
+	vm.adopt(vm.registry.Reading(entries, in.reading.Revision), "platform")
+	vm.perform(vm.sync.ReadDone(in.began, vm.held(), now), now)
+}
+
+// retain adds the upstreams that a reading lacks. After an outage of the platform
+// their entries may have lapsed while they live.
+func (vm *VM) retain(entries []sparregistry.Entry) []sparregistry.Entry {
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.Key] = true
+	}
+	kept := 0
+	for _, e := range vm.registry.Under(sparroster.UpstreamPrefix) {
+		if !present[e.Key] {
+			entries = append(entries, e)
+			kept++
+		}
+	}
+	if kept > 0 {
+		vm.logRetained(kept)
+	}
+	return entries
+}
+
+func (vm *VM) takePull(in pulled, now time.Duration) {
+	if in.err != nil {
+		vm.logPullFailed(in.pull, in.err)
+		return
+	}
+	r := in.reply
+	if !r.Synced {
+		return
+	}
+	entries := sparcontrol.ToEntries(r.Entries)
+	whole := in.pull.ask.After == 0
+	if whole {
+		vm.adopt(vm.registry.Reading(entries, r.Revision), in.pull.ask.From.Name)
+	} else {
+		vm.adopt(vm.registry.WithPeer(entries, r.Revision, r.Synced), in.pull.ask.From.Name)
+	}
+	certain := in.pull.began - time.Duration(r.Age)*time.Microsecond
+	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, r.Digest, whole, now), now)
+}
+
+func (vm *VM) held() sparsync.Held {
+	return sparsync.Held{Revision: vm.registry.Revision(), Digest: vm.registry.Digest()}
+}
+
+// adopt puts settings in force where they differ.
+func (vm *VM) adopt(next sparregistry.Registry, source string) {
+	changed := next.Digest() != vm.registry.Digest() || !vm.synced
+	vm.registry = next
+	vm.sync.Holds(vm.held())
+	if !changed {
+		return
+	}
+	before := vm.engine.Roster()
+	roster := sparroster.New(next, platform.Decode)
+	vm.engine.Apply(roster)
+	vm.sync.List(roster.VMs)
+	vm.logSettings(before, roster, source)
+	if !vm.synced {
+		vm.synced = true
+		vm.ready.Store(vm.stopping.IsZero())
+		vm.logReady()
+	}
+}
+
+// register lists this VM in the platform where the settings lack it.
+func (vm *VM) register(now time.Duration) {
+	if !vm.synced || vm.listed.busy || vm.sync.Failing() || !vm.stopping.IsZero() ||
+		vm.listed.at > 0 && now-vm.listed.at < listEvery {
+		return
+	}
+	key := sparroster.VMPrefix + vm.file.Name
+	held, ok := vm.registry.Get(key)
+	text := vm.file.VM().Text()
+	if ok && string(held.Value) == string(text) {
+		return
+	}
+	vm.listed = listing{busy: true, at: now}
+	vm.writes.Put(sparregistry.Entry{Key: key, Value: text, Revision: held.Revision})
+}
+
+// perform does what the settings need.
+func (vm *VM) perform(outs []sparsync.Output, now time.Duration) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case sparsync.Read:
+			vm.reads.Put(now)
+		case sparsync.Ask:
+			vm.pulls.Put(pull{ask: out, began: now}) // a full ring has others under way
+		case sparsync.Notify:
+			vm.tell(out.To, sparcontrol.EncodeNotice(out.Notice))
+		case sparsync.Confirm:
+			vm.tell(out.To, sparcontrol.EncodeReceipt(vm.file.VM()))
+		}
+	}
+}
+
+// reader is the thread that reads the platform.
+func (vm *VM) reader(ctx context.Context) error {
+	for {
+		select {
+		case began := <-vm.reads.Out():
+			reading, err := vm.store.List(ctx)
+			vm.post(ctx, read{began: began, reading: reading, err: err})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// registrar is the thread that lists this VM in the platform.
+func (vm *VM) registrar(ctx context.Context) error {
+	for {
+		select {
+		case e := <-vm.writes.Out():
+			vm.post(ctx, wrote{err: vm.store.Put(ctx, e)})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// post hands an input that must not be lost to the deciding thread.
+func (vm *VM) post(ctx context.Context, in input) {
+	for !vm.inputs.Put(in) {
+		select {
+		case <-time.After(tickEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shortError returns the cause of a failed call without its address and path, which
+// each line of the log would repeat.
+func shortError(err error) string {
+	text := err.Error()
+	if i := strings.LastIndex(text, "\": "); i >= 0 {
+		return text[i+3:]
+	}
+	return text
+}
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
@@ -18,7 +19,6 @@
 	// surveyWait bounds a round of facts, so that status answers within a second.
 	surveyWait = 600 * time.Millisecond
 	readWait   = 5 * time.Second
-	metricPath = "/metrics"
 )
 
 type (
@@ -59,7 +59,7 @@
 func (s *Server) serveHTTP(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(sparcontrol.ControlPathPrefix, sparcontrol.NewControlServer(handler{server: s}))
-	mux.Handle(metricPath, s.metrics.http)
+	mux.Handle(sparmetrics.Path, s.metrics.http)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readWait}
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/internal/vm/sparserver/metrics.go
+++ b/internal/vm/sparserver/metrics.go
@@ -6,18 +6,16 @@
 	"sync/atomic"
 	"time"
 
-	collectors "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparroute"
 	"github.com/oleanderspar/oleanderspar/internal/wire/sparpacket"
 )
 
 const (
-	publishEvery = time.Second
-	udpHeader    = 28 // IPv4 and UDP, counted as control bytes beside the payload
-	httpHeader   = 700
+	udpHeader  = 28 // IPv4 and UDP, counted as control bytes beside the payload
+	httpHeader = 700
 )
 
 // metrics holds the counts of one VM and publishes them through tally.
@@ -38,13 +36,8 @@
 }
 
 func newMetrics() *metrics {
-	registry := collectors.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "oleanderspar", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, publishEvery)
-	return &metrics{scope: scope, closer: closer, http: reporter.HTTPHandler(), badPackets: map[string]int64{}}
+	set := sparmetrics.New()
+	return &metrics{scope: set.Scope, closer: set, http: set.Handler, badPackets: map[string]int64{}}
 }
 
 // badPacket counts a datagram that was refused by cause.
@@ -73,7 +66,7 @@
 // publish brings the metrics up to date about once a second.
 func (m *metrics) publish(s *Server) {
 	now := time.Now()
-	if now.Sub(m.published) < publishEvery {
+	if now.Sub(m.published) < sparmetrics.PublishEvery {
 		return
 	}
 	m.published = now
