sparcookie, sparsync: a young VM passes flows of earlier routes, stale VMs ask by datagram

Two VMs that started behind a cut asked peers one by one, 700 ms each, and were ready after 4 s. Change: the check waits for the life of a flow (an upstream takes no data of a flow that it never accepted); a VM with old settings asks three peers at a time by datagram, and one that knows none learns of peers that ask it.

--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -33,6 +33,7 @@
 func (s *Sync) ReadDone(began time.Duration, held Held, now time.Duration) []Output {
 	s.busy = false
 	s.held = held
+	s.wanted = wanted{}
 	if s.failing {
 		s.failing, s.returned = false, now
 	}
@@ -66,22 +67,19 @@
 	}
 }
 
-// asks asks one peer after the other while the settings here are old.
+// asks asks some peers in turn while the settings here are old.
 func (s *Sync) asks(now time.Duration) []Output {
-	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) || !s.Synced() && !s.failing {
-		return nil
-	}
-	peers := s.reachable(now)
-	if len(peers) == 0 {
+	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
 		return nil
 	}
 	s.askedAt = now
-	s.asked++
-	after := s.held.Revision
-	if !s.Synced() || s.asked%2 == 0 {
-		after = 0
+	peers := s.reachable(now)
+	var outs []Output
+	for range min(askFan, len(peers)) {
+		s.asked++
+		outs = append(outs, s.enquire(peers[s.asked%len(peers)].vm, now))
 	}
-	return []Output{Ask{From: peers[s.asked%len(peers)].vm, After: after}}
+	return outs
 }
 
 // reachable returns the peers heard lately, or all and the seeds where there is none.
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -46,6 +46,10 @@
 	retryFirst = 150 * time.Millisecond
 	retryLast  = 2 * time.Second
 	askEvery   = 200 * time.Millisecond
+	// askFan is the number of peers asked at a time.
+	askFan = 3
+	// pullEvery is how long a pull of the same settings is waited for.
+	pullEvery = 250 * time.Millisecond
 	// aliveFor is how long a peer counts as reachable after it was last heard.
 	aliveFor = 6 * time.Second
 	// settle is how long entries may be missing after the platform's return: the
@@ -62,7 +66,7 @@
 
 type (
 	// Output is something for the shell to do. It is a sealed interface: Read, Ask,
-	// Notify or Confirm.
+	// Enquire, Notify or Confirm.
 	Output interface {
 		output()
 	}
@@ -76,6 +80,19 @@
 		After uint64 // only what changed later; 0 for everything
 	}
 
+	// Enquire asks a peer whether its settings are more recent.
+	Enquire struct {
+		To    sparconfig.VM
+		Query Query
+	}
+
+	// Query is a question for a notice.
+	Query struct {
+		From   sparconfig.VM
+		Synced bool
+		Age    time.Duration
+	}
+
 	// Notify tells a peer how old the settings here are.
 	Notify struct {
 		To     sparconfig.VM
@@ -121,6 +138,7 @@
 		failing  bool
 		returned time.Duration // when the platform answered again after a failure
 		wanted   wanted
+		pulledAt time.Duration
 		askedAt  time.Duration
 		asked    int // number of peers asked, to ask them in turn
 		relayed  mark
@@ -149,6 +167,7 @@
 
 func (Read) output()    {}
 func (Ask) output()     {}
+func (Enquire) output() {}
 func (Notify) output()  {}
 func (Confirm) output() {}
 
@@ -235,6 +254,23 @@
 	return append(outs, s.tell(now)...)
 }
 
+// Asked takes the question of a peer. One that knows no settings yet but is asked
+// learns of a peer to ask.
+func (s *Sync) Asked(q Query, now time.Duration) []Output {
+	s.alive(q.From, now)
+	switch {
+	case !s.Synced() && q.Synced:
+		return []Output{s.enquire(q.From, now)}
+	case s.Synced() && (!q.Synced || s.Age(now) < q.Age):
+		return []Output{Notify{To: q.From, Notice: s.notice(now)}}
+	}
+	return nil
+}
+
+func (s *Sync) enquire(to sparconfig.VM, now time.Duration) Output {
+	return Enquire{To: to, Query: Query{From: s.self, Synced: s.Synced(), Age: s.Age(now)}}
+}
+
 // Confirmed takes the word of a peer that a notice arrived.
 func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) { s.alive(vm, now) }
 
@@ -244,6 +280,7 @@
 func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, digest uint64, whole bool, now time.Duration) []Output {
 	s.alive(from, now)
 	if s.held.Digest == digest || whole {
+		s.wanted = wanted{}
 		s.confirm(certain, mark{reader: reader})
 	}
 	return s.tell(now)
@@ -253,7 +290,7 @@
 // help it asks for everything.
 func (s *Sync) want(n Notice, now time.Duration) []Output {
 	again := n.Digest == s.wanted.held.Digest
-	if again && now-s.askedAt < askEvery {
+	if again && now-s.pulledAt < pullEvery {
 		return nil
 	}
 	after := s.held.Revision
@@ -263,7 +300,7 @@
 	s.wanted = wanted{
 		mark: mark{n.Reader, n.Round}, held: Held{n.Revision, n.Digest}, certain: now - n.Age,
 	}
-	s.askedAt = now
+	s.pulledAt = now
 	return []Output{Ask{From: n.From, After: after}}
 }
 
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -22,10 +22,7 @@
 		return nil
 	}
 	s.relayed = s.source
-	notice := Notice{
-		From: s.self, Reader: s.source.reader, Round: s.source.round,
-		Revision: s.held.Revision, Digest: s.held.Digest, Age: s.Age(now),
-	}
+	notice := s.notice(now)
 	var outs []Output
 	order := s.order()
 	for _, name := range s.below(order, slices.Index(order, s.self.Name)) {
@@ -36,6 +33,14 @@
 	return outs
 }
 
+// notice says how recent the settings here are.
+func (s *Sync) notice(now time.Duration) Notice {
+	return Notice{
+		From: s.self, Reader: s.source.reader, Round: s.source.round,
+		Revision: s.held.Revision, Digest: s.held.Digest, Age: s.Age(now),
+	}
+}
+
 // order returns the VMs in the order of the tree, its root first. It follows from the
 // reader and the list of VMs, so VMs with the same list agree on it.
 func (s *Sync) order() []string {
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// Input is a decoded datagram. It is a sealed interface: Report, Message, Told or
-	// Received.
+	// Input is a decoded datagram. It is a sealed interface: Report, Message, Told,
+	// Received or Asked.
 	Input interface {
 		input()
 	}
@@ -46,6 +46,7 @@
 func (Message) input()  {}
 func (Told) input()     {}
 func (Received) input() {}
+func (Asked) input()    {}
 
 // EncodeBeat returns a heartbeat in wire form.
 func EncodeBeat(r Report) []byte {
@@ -106,6 +107,8 @@
 	case *Datagram_Receipt:
 		vm := body.Receipt.GetFrom().ToVM()
 		return Received{From: vm}, sparconfig.CheckName(vm.Name)
+	case *Datagram_Query:
+		return decodeQuery(body.Query)
 	}
 	return nil, errors.New("no body")
 }
--- a/internal/peer/sparcontrol/notice.go
+++ b/internal/peer/sparcontrol/notice.go
@@ -19,6 +19,11 @@
 	Received struct {
 		From sparconfig.VM
 	}
+
+	// Asked is a peer's question whether the settings here are more recent.
+	Asked struct {
+		Query sparsync.Query
+	}
 )
 
 // EncodeNotice returns a notice in wire form.
@@ -50,3 +55,20 @@
 		Age: time.Duration(n.Age) * time.Microsecond,
 	}}, nil
 }
+
+// EncodeQuery returns a query in wire form.
+func EncodeQuery(q sparsync.Query) []byte {
+	return marshal(&Datagram{Body: &Datagram_Query{Query: &Query{
+		From: FromVM(q.From), Synced: q.Synced, Age: uint64(q.Age.Microseconds()),
+	}}})
+}
+
+func decodeQuery(q *Query) (asked Asked, err error) {
+	vm := q.GetFrom().ToVM()
+	if err := sparconfig.CheckName(vm.Name); err != nil {
+		return Asked{}, err
+	}
+	return Asked{Query: sparsync.Query{
+		From: vm, Synced: q.Synced, Age: time.Duration(q.Age) * time.Microsecond,
+	}}, vm.Check()
+}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -59,6 +59,7 @@
 	path struct {
 		route    sparroster.Route
 		live     bool            // the roster has the route
+		since    time.Duration   // first seen here
 		services map[string]bool // every service that the route ever listed here
 	}
 
@@ -112,7 +113,7 @@
 		route, _ := r.Route(at)
 		p := e.paths[at]
 		if p == nil {
-			p = &path{services: map[string]bool{}}
+			p = &path{since: e.now, services: map[string]bool{}}
 			e.paths[at] = p
 		}
 		p.route, p.live = route, true
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -74,12 +74,13 @@
 		e.ask(f)
 		return seen
 	}
-	seen.repeated = true
-	seen.waited = e.now - max(f.asked, f.moved)
-	if seen.waited >= copyAfter && f.upstream.heard < f.asked {
-		e.suspect(f.upstream)
+	if waited := e.now - max(f.asked, f.moved); waited >= copyAfter {
+		seen.repeated, seen.waited = true, waited
+		if f.upstream.heard < f.asked {
+			e.suspect(f.upstream)
+		}
 	}
-	return seen
+	return seen // sooner it is a packet that another one overtook
 }
 
 // ask notes a request, unless one waits already.
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -18,6 +18,9 @@
 	if s.Kind == Opening {
 		return e.open(p, s)
 	}
+	if p == nil && e.roster.Revision == 0 {
+		return e.drop(NotFresh)
+	}
 	if p == nil {
 		return e.drop(NoRoute)
 	}
@@ -79,7 +82,7 @@
 	if u == nil {
 		return e.drop(UnknownCookie)
 	}
-	if !p.services[u.Service] {
+	if !e.served(p, u) {
 		return e.drop(WrongService)
 	}
 	if f == nil || f.upstream != u {
@@ -103,6 +106,14 @@
 	return v
 }
 
+// served reports whether a flow of the path may be at the upstream. A route may have
+// listed other services before this VM knew it, and their flows stay where they are
+// for as long as a flow lives. An upstream takes no data of a flow that it never
+// accepted, so until then the check can wait.
+func (e *Engine) served(p *path, u *upstream) bool {
+	return p.services[u.Service] || e.now-p.since < FlowLife
+}
+
 // dropped ends a flow whose route is no more.
 func (e *Engine) dropped(key flowKey, u *upstream) Verdict {
 	if !e.fresh {
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -56,8 +56,9 @@
 	Store interface {
 		// List reads every key, linearizably.
 		List(ctx context.Context) (platform.Reading, error)
-		// Put writes an entry that is still at its revision, 0 meaning absent.
-		Put(ctx context.Context, e sparregistry.Entry) error
+		// Put writes an entry that is still at its revision, 0 meaning absent, and
+		// returns it as written.
+		Put(ctx context.Context, e sparregistry.Entry) (sparregistry.Entry, error)
 		// Calls returns the number of calls made so far.
 		Calls() uint64
 	}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -42,7 +42,8 @@
 
 	// wrote is the outcome of listing this VM.
 	wrote struct {
-		err error
+		entry sparregistry.Entry
+		err   error
 	}
 
 	// pull is a question to a peer for its settings.
@@ -73,7 +74,9 @@
 		vm.listed.busy = false
 		if in.err != nil {
 			vm.logListFailed(in.err)
+			break
 		}
+		vm.adopt(vm.registry.With(in.entry), vm.file.Name)
 	}
 	vm.logState(state)
 	vm.logEvents()
@@ -83,6 +86,8 @@
 	switch d := datagram.(type) {
 	case sparcontrol.Told:
 		vm.perform(vm.sync.Heard(d.Notice, now), now)
+	case sparcontrol.Asked:
+		vm.perform(vm.sync.Asked(d.Query, now), now)
 	case sparcontrol.Received:
 		vm.sync.Confirmed(d.From, now)
 	default:
@@ -194,6 +199,8 @@
 			vm.reads.Put(now)
 		case sparsync.Ask:
 			vm.pulls.Put(pull{ask: out, began: now}) // a full ring has others under way
+		case sparsync.Enquire:
+			vm.tell(out.To, sparcontrol.EncodeQuery(out.Query))
 		case sparsync.Notify:
 			vm.tell(out.To, sparcontrol.EncodeNotice(out.Notice))
 		case sparsync.Confirm:
@@ -220,7 +227,8 @@
 	for {
 		select {
 		case e := <-vm.writes.Out():
-			vm.post(ctx, wrote{err: vm.store.Put(ctx, e)})
+			entry, err := vm.store.Put(ctx, e)
+			vm.post(ctx, wrote{entry: entry, err: err})
 		case <-ctx.Done():
 			return nil
 		}
