--- a/internal/operator/sparcli/serve.go
+++ b/internal/operator/sparcli/serve.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -14,9 +12,8 @@
 	"github.com/oleanderspar/oleanderspar/internal/log/sparlog"
 	"github.com/oleanderspar/oleanderspar/internal/operator/spardemo"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
-	"github.com/oleanderspar/oleanderspar/internal/vm/sparentry"
+	"github.com/oleanderspar/oleanderspar/internal/vm/sparlaunch"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparserver"
-	"github.com/oleanderspar/oleanderspar/platform"
 )
 
 type (
@@ -45,75 +42,17 @@
 		return exit{Invalid, errors.Annotate(err, "--log")}
 	}
 	if file.Carrier == sparconfig.Cookie {
-		return c.serveCookie(ctx, out, file, level)
+		return sparlaunch.Run(ctx, c.File, file, level, out.stdout)
 	}
 	server, err := sparserver.New(file, sparlog.New(out.stderr, file.Log, level, sparlog.Burst))
 	if err != nil {
 		return err
 	}
-	ctx, abort, cancel := untilSignal(ctx)
+	ctx, abort, cancel := sparlaunch.UntilSignal(ctx)
 	defer cancel()
 	return server.Run(ctx, abort)
 }
 
-// serveCookie runs a VM of the cookie carrier. Its log goes to stdout.
-func (c *serveCommand) serveCookie(ctx context.Context, out streams, file sparconfig.File, level logrus.Level) (err error) {
-	pipe := sparlog.NewPipe(out.stdout)
-	defer pipe.Close()
-	log := sparlog.New(pipe, file.Log, level, sparlog.FlowBurst)
-	vm, err := sparentry.New(file, platform.NewStore(file.Platform), log)
-	if err != nil {
-		return err
-	}
-	ctx, _, cancel := untilSignal(ctx)
-	defer cancel()
-	return vm.Run(ctx, c.reloads(ctx, log))
-}
-
-// reloads returns the settings file anew after each SIGHUP and each change. One that
-// cannot be used is logged and left aside.
-func (c *serveCommand) reloads(ctx context.Context, log *logrus.Logger) <-chan sparconfig.File {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	files := make(chan sparconfig.File)
-	go func() {
-		defer signal.Stop(hangups)
-		for {
-			select {
-			case <-hangups:
-			case <-ctx.Done():
-				return
-			}
-			file, err := sparconfig.ReadFile(c.File)
-			if err != nil {
-				log.WithError(err).Error("reload refused, the settings before it stay")
-				continue
-			}
-			select {
-			case files <- file:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return files
-}
-
-// untilSignal returns a context that ends at the first SIGTERM or SIGINT, and a channel
-// that gets the second.
-func untilSignal(parent context.Context) (ctx context.Context, abort <-chan os.Signal, cancel func()) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	ctx, cancel = context.WithCancel(parent)
-	again := make(chan os.Signal, 1)
-	go func() {
-		<-signals
-		cancel()
-		again <- <-signals
-	}()
-	return ctx, again, cancel
-}
-
 func (c *checkCommand) run(_ context.Context, out streams) (err error) {
 	text, err := os.ReadFile(c.File)
 	if err != nil {
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -73,6 +73,8 @@
 		flows   int           // open ones that pass this VM
 		recent  rate
 		heard   time.Duration // last sign that a packet of it reached a caller
+		pending time.Duration // first opening sent since then, 0 where all were answered
+		strikes int           // flows that have repeated a packet in vain since then
 		health  sparhealth.Health
 		trialAt time.Duration // last opening sent to try it
 	}
@@ -170,9 +172,7 @@
 // Tick does what time makes due.
 func (e *Engine) Tick() {
 	for _, u := range e.upstreams {
-		if u.health.Tick(e.now, 0) {
-			e.emit(UpstreamJudged{Upstream: u.Upstream, State: u.health.State()})
-		}
+		e.judge(u, u.health.Tick(e.now, 0))
 	}
 	if e.now-e.swept < sweepEvery {
 		return
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -24,6 +24,7 @@
 		moved    time.Duration // last sign of progress, or the last opening sent
 		asked    time.Duration // when the request that waits for an answer came, or 0
 		seen     time.Duration // last packet
+		struck   time.Duration // when it last counted against its upstream, or 0
 		end      uint32        // sequence number behind the data seen
 		ack      uint32        // highest acknowledgement seen
 		opened   bool
@@ -77,7 +78,7 @@
 	if waited := e.now - max(f.asked, f.moved); waited >= copyAfter {
 		seen.repeated, seen.waited = true, waited
 		if f.upstream.heard < f.asked {
-			e.suspect(f.upstream)
+			e.suspect(f.upstream, f)
 		}
 	}
 	return seen // sooner it is a packet that another one overtook
@@ -95,18 +96,24 @@
 func (e *Engine) progress(f *flow) {
 	f.moved = e.now
 	u := f.upstream
-	u.heard = e.now
-	if u.health.Answered(e.now) {
-		e.emit(UpstreamJudged{Upstream: u.Upstream, State: u.health.State()})
+	u.heard, u.pending, u.strikes = e.now, 0, 0
+	e.judge(u, u.health.Answered(e.now))
+}
+
+// suspect notes that an upstream has left a packet of f without answer while nobody
+// else heard from it. A flow counts once until the upstream is heard again.
+func (e *Engine) suspect(u *upstream, f *flow) {
+	if f.struck <= u.heard || f.struck == 0 {
+		f.struck = e.now
+		u.strikes++
 	}
+	e.judge(u, u.health.Failed(e.now))
 }
 
-// suspect notes that an upstream has left a packet without answer while nobody
-// else heard from it.
-func (e *Engine) suspect(u *upstream) {
-	silent := e.now - u.heard
-	if u.health.Failed(e.now) {
-		e.emit(UpstreamJudged{Upstream: u.Upstream, State: u.health.State(), Silent: silent})
+// judge tells of a change of health.
+func (e *Engine) judge(u *upstream, changed bool) {
+	if changed {
+		e.emit(UpstreamJudged{Upstream: u.Upstream, State: u.health.State(), Silent: e.now - u.heard})
 	}
 }
 
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -10,6 +10,13 @@
 	copyAfter = 150 * time.Millisecond
 	// openingLife is how long a caller waits for its flow to open.
 	openingLife = 1500 * time.Millisecond
+	// openingSlack is the age from which an opening without answer speaks against its
+	// upstream: a quarter of the time after which callers repeat it.
+	openingSlack = 50 * time.Millisecond
+	// muteStrikes is the number of flows that must repeat in vain, beside an
+	// unanswered opening, before flows of an upstream are ended: one packet lost in
+	// each of them at a time is out of the question.
+	muteStrikes = 3
 )
 
 // Forward decides on a packet from a caller.
@@ -44,11 +51,19 @@
 	if u == nil {
 		return e.reset(NoUpstream, nil)
 	}
-	e.forget(key)
-	e.record(key, &flow{upstream: u, began: e.now, moved: e.now, seen: e.now})
+	e.start(key, u, e.now)
 	return e.send(Placed, u)
 }
 
+// start records an opening sent to u of a flow that began at a time.
+func (e *Engine) start(key flowKey, u *upstream, began time.Duration) {
+	e.forget(key)
+	e.record(key, &flow{upstream: u, began: began, moved: e.now, seen: e.now})
+	if u.pending == 0 {
+		u.pending = e.now
+	}
+}
+
 // openAgain decides on the copy of an opening that has had no answer. An upstream
 // that answers others meanwhile gets it again, since one of the packets was lost.
 // Otherwise another upstream does; the flow opens at the first whose answer the
@@ -59,13 +74,12 @@
 	if e.now-f.moved < copyAfter || u.heard > f.moved {
 		return e.send(Repeated, u)
 	}
-	e.suspect(u)
+	e.suspect(u, f)
 	other := e.choose(p, key, u)
 	if other == nil {
 		return e.send(Repeated, u)
 	}
-	e.forget(key)
-	e.record(key, &flow{upstream: other, began: f.began, moved: e.now, seen: e.now})
+	e.start(key, other, f.began)
 	v := e.send(Moved, other)
 	v.Silent, v.Waited = e.now-u.heard, e.now-f.began
 	return v
@@ -101,11 +115,22 @@
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
+	if seen.repeated && p.route.Repeatable && e.mute(u) {
+		e.forget(key)
+		return e.reset(UpstreamMute, u)
+	}
 	v := e.send(Carried, u)
 	v.Answered, v.First, v.Unanswered, v.Waited = seen.answered, seen.first, seen.repeated, seen.waited
 	return v
 }
 
+// mute reports whether an upstream is taken to be lost, though it is listed: it has
+// left an opening unanswered, which no load delays, and several flows repeat in vain.
+// A caller that may repeat its request is then better off with another upstream.
+func (e *Engine) mute(u *upstream) bool {
+	return u.strikes >= muteStrikes && u.pending > 0 && e.now-u.pending >= copyAfter
+}
+
 // served reports whether a flow of the path may be at the upstream. A route may have
 // listed other services before this VM knew it, and their flows stay where they are
 // for as long as a flow lives. An upstream takes no data of a flow that it never
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -70,6 +70,7 @@
 	bestTier := tierNone
 	full := e.domainFull(service)
 	for _, u := range e.services[service] {
+		e.expect(u)
 		t := e.tierOf(u)
 		if u == avoid || t == tierNone {
 			continue
@@ -82,18 +83,26 @@
 			best, bestScore, bestTier = u, score, t
 		}
 	}
-	if best != nil && !best.health.Opens() || best != nil && best.health.State() == "trial" {
+	if best != nil {
 		best.trialAt = e.now
 	}
 	return best
 }
 
+// expect takes an upstream out whose answer to an opening is overdue. Any answer to
+// another flow brings it back.
+func (e *Engine) expect(u *upstream) {
+	if u.pending > 0 && e.now-u.pending >= openingSlack && u.health.Opens() && e.now-u.trialAt >= openingSlack {
+		e.judge(u, u.health.Ejected(e.now))
+	}
+}
+
 // tierOf says how well an upstream suits an opening.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
 	case u.Draining || u.gone:
 		return tierNone
-	case !u.health.Opens(), u.health.State() == "trial" && e.now-u.trialAt < trialEvery:
+	case !u.health.Opens(), u.health.OnTrial() && e.now-u.trialAt < trialEvery:
 		return tierSilent
 	case u.Domain == e.domain:
 		return tierLocal
--- a/internal/route/sparhealth/health.go
+++ b/internal/route/sparhealth/health.go
@@ -57,6 +57,9 @@
 // Opens reports whether the flows do not speak against new openings.
 func (h *Health) Opens() bool { return chart.Has(h.current(), opensMark) }
 
+// OnTrial reports whether one opening at a time may try the upstream.
+func (h *Health) OnTrial() bool { return chart.Has(h.current(), onceMark) }
+
 // Answered notes that the upstream has answered.
 func (h *Health) Answered(now time.Duration) (changed bool) {
 	h.failures = 0
@@ -66,7 +69,7 @@
 // Failed notes that an opening was refused or not answered.
 func (h *Health) Failed(now time.Duration) (changed bool) {
 	h.failures++
-	if h.failures < FailuresInRow && !chart.Has(h.current(), onceMark) {
+	if h.failures < FailuresInRow && !h.OnTrial() {
 		return false
 	}
 	return h.change("failed", now)
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -88,7 +88,8 @@
 	if err := decode(text, &f); err != nil {
 		return File{}, err
 	}
-	return f.withDefaults(), f.check()
+	f = f.withDefaults()
+	return f, f.check()
 }
 
 // Keys returns the two halves of the secret, which the carrier geneve has.
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -93,6 +93,7 @@
 		stamps    spartimeline.Clock
 		metrics   *metrics
 		listed    listing
+		early     []*packet // held until the first settings
 		synced    bool
 		reachable bool // the platform answered this VM last
 		age       time.Duration
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -25,6 +25,7 @@
 	badPackets map[string]int64
 	unread     atomic.Uint64 // datagrams that the kernel could not hand over
 	unsent     atomic.Uint64 // datagrams that the kernel refused
+	early      atomic.Uint64 // packets given up before the first settings
 	badControl atomic.Uint64
 	control    atomic.Uint64 // bytes of control datagrams sent
 	counted    map[string]uint64
@@ -52,6 +53,7 @@
 	m.count("platform_calls", vm.store.Calls())
 	m.count("control_bytes", m.control.Load())
 	m.count("refused_control", m.badControl.Load())
+	m.count("early_packets", m.early.Load())
 	m.count("unread_datagrams", m.unread.Load())
 	m.count("unsent_datagrams", m.unsent.Load())
 	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.asks.Refused())
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -12,6 +12,10 @@
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
+// maxEarly is the number of packets held before the first settings: more than arrive
+// within the few calls that bring them, and little memory where they do not come.
+const maxEarly = 256
+
 // packet is one datagram between threads. Its bytes begin behind room for the tag.
 type packet struct {
 	buffer [platform.TagBytes + platform.MaxBytes + 1]byte
@@ -41,8 +45,32 @@
 	}
 }
 
+// hold keeps a packet that arrives before the first settings. Its sender would send
+// it again only after 200 ms.
+func (vm *VM) hold(p *packet) {
+	if len(vm.early) >= maxEarly {
+		vm.buffers.Put(vm.early[0])
+		vm.early = vm.early[1:]
+		vm.metrics.early.Add(1)
+	}
+	vm.early = append(vm.early, p)
+}
+
+// release decides on the packets held before the first settings.
+func (vm *VM) release() {
+	early := vm.early
+	vm.early = nil
+	for _, p := range early {
+		vm.forward(p)
+	}
+}
+
 // forward decides on one packet and sends what follows from it.
 func (vm *VM) forward(p *packet) {
+	if !vm.synced {
+		vm.hold(p)
+		return
+	}
 	defer vm.buffers.Put(p)
 	s, err := platform.Parse(p.bytes())
 	if err != nil {
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -172,6 +172,8 @@
 		vm.synced = true
 		vm.ready.Store(vm.stopping.IsZero())
 		vm.logReady()
+		vm.engine.Fresh(true)
+		vm.release()
 	}
 }
 
