--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -24,6 +24,9 @@
 	if chart.Has(s.state, readsMark) {
 		return true
 	}
+	if s.Age(now) < s.share(takeoverShare) {
+		return false
+	}
 	rank := min(slices.Index(s.names(0), s.self.Name), staggerSteps)
 	stagger := s.share(staggerShare) * time.Duration(rank) / staggerSteps
 	return s.Age(now) >= s.share(takeoverShare)+stagger
@@ -60,31 +63,37 @@
 	if !chart.Has(s.state, tellsMark) || n.Reader == s.self.Name || n.Age >= s.share(askShare) {
 		return
 	}
-	names := s.names(0)
-	before := slices.Index(names, n.Reader)
-	if s.failing || before >= 0 && before < slices.Index(names, s.self.Name) {
+	if s.failing || s.before(n.Reader, s.self.Name) {
 		s.state = chart.Next(s.state, "outranked")
 	}
 }
 
-// asks asks some peers in turn while the settings here are old.
+// outrank tells a reader of one that comes before it. Their rounds may hide each
+// other: VMs pass on only what is more recent than what they know.
+func (s *Sync) outrank(n Notice, now time.Duration) []Output {
+	if n.From.Name != n.Reader || n.Reader == s.source.reader || s.Age(now) >= s.share(askShare) ||
+		!s.before(s.source.reader, n.Reader) {
+		return nil
+	}
+	return []Output{Notify{To: n.From, Notice: s.notice(now)}}
+}
+
+// before reports whether VM a comes before VM b in the order of names.
+func (s *Sync) before(a, b string) bool {
+	names := s.names(0)
+	first := slices.Index(names, a)
+	return first >= 0 && first < slices.Index(names, b)
+}
+
+// asks asks some peers in turn while the settings here are old: one that was heard
+// lately, one of the same failure domain, which a cut leaves in reach, and any one.
 func (s *Sync) asks(now time.Duration) []Output {
 	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
 		return nil
 	}
 	s.askedAt = now
-	peers := s.reachable(now)
-	var outs []Output
-	for range min(askFan, len(peers)) {
-		s.asked++
-		outs = append(outs, s.enquire(peers[s.asked%len(peers)].vm, now))
-	}
-	return outs
-}
-
-// reachable returns the peers heard lately, or all and the seeds where there is none.
-func (s *Sync) reachable(now time.Duration) []*peer {
-	var heard, all []*peer
+	s.asked++
+	var heard, near, all []*peer
 	for _, name := range s.names(0) {
 		p := s.peers[name]
 		if p == nil {
@@ -94,9 +103,16 @@
 		if p.heard > 0 && now-p.heard < aliveFor {
 			heard = append(heard, p)
 		}
+		if p.vm.Domain == s.self.Domain {
+			near = append(near, p)
+		}
 	}
-	if len(heard) > 0 {
-		return heard
+	all = append(all, s.seeds...)
+	var outs []Output
+	for _, peers := range [][]*peer{heard, near, all} {
+		if len(peers) > 0 {
+			outs = append(outs, s.enquire(peers[s.asked%len(peers)].vm, now))
+		}
 	}
-	return append(all, s.seeds...)
+	return outs
 }
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -19,7 +19,9 @@
 package sparsync
 
 import (
+	"cmp"
 	_ "embed"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -46,12 +48,13 @@
 	retryFirst = 150 * time.Millisecond
 	retryLast  = 2 * time.Second
 	askEvery   = 200 * time.Millisecond
-	// askFan is the number of peers asked at a time.
-	askFan = 3
 	// pullEvery is how long a pull of the same settings is waited for.
 	pullEvery = 250 * time.Millisecond
 	// aliveFor is how long a peer counts as reachable after it was last heard.
 	aliveFor = 6 * time.Second
+	// maxOrders is the number of orders of names kept: one for takeovers, and one for
+	// each VM that has read lately.
+	maxOrders = 8
 	// settle is how long entries may be missing after the platform's return: the
 	// upstreams' time to list themselves again, and one reading.
 	settle = 2500 * time.Millisecond
@@ -129,6 +132,7 @@
 		certain time.Duration // the settings were complete then; 0 before the first
 		peers   map[string]*peer
 		seeds   []*peer
+		orders  map[int][]string // of names, by slot
 
 		source   mark   // whose reading the settings follow
 		rounds   uint64 // readings of this VM
@@ -174,7 +178,7 @@
 // New returns the state of the VM self. Settings must be in force everywhere within
 // bound of their acknowledgement.
 func New(self sparconfig.VM, bound time.Duration) *Sync {
-	return &Sync{self: self, bound: bound, state: chart.Start(), retry: retryFirst, peers: map[string]*peer{}}
+	return &Sync{self: self, bound: bound, state: chart.Start(), retry: retryFirst, peers: map[string]*peer{}, orders: map[int][]string{}}
 }
 
 // State returns what this VM does about settings: starting, following or reading.
@@ -212,11 +216,7 @@
 		if vm.Name == s.self.Name {
 			continue
 		}
-		p := s.peers[vm.Name]
-		if p == nil {
-			p = &peer{}
-			s.peers[vm.Name] = p
-		}
+		p := s.peer(vm)
 		p.vm, p.known = vm, true
 	}
 }
@@ -243,7 +243,7 @@
 // Heard takes a notice of a peer.
 func (s *Sync) Heard(n Notice, now time.Duration) []Output {
 	s.alive(n.From, now)
-	outs := []Output{Confirm{To: n.From}}
+	outs := append([]Output{Confirm{To: n.From}}, s.outrank(n, now)...)
 	s.yield(n)
 	switch {
 	case s.Synced() && n.Digest == s.held.Digest:
@@ -319,11 +319,7 @@
 	if vm.Name == "" || vm.Name == s.self.Name {
 		return
 	}
-	p := s.peers[vm.Name]
-	if p == nil {
-		p = &peer{vm: vm}
-		s.peers[vm.Name] = p
-	}
+	p := s.peer(vm)
 	if vm.Control != "" {
 		p.vm = vm
 	}
@@ -333,20 +329,32 @@
 func (s *Sync) share(of float64) time.Duration { return time.Duration(of * float64(s.bound)) }
 
 // names returns this VM and its peers, those with the highest weight for slot first.
+// The order is kept until the peers change. It must not be written to.
 func (s *Sync) names(slot int) []string {
-	names := []string{s.self.Name}
+	if names := s.orders[slot]; names != nil {
+		return names
+	}
+	weights := map[string]uint64{s.self.Name: sparrank.Weight(slot, sparrank.Name(s.self.Name))}
 	for name := range s.peers {
-		names = append(names, name)
+		weights[name] = sparrank.Weight(slot, sparrank.Name(name))
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		wa, wb := sparrank.Weight(slot, sparrank.Name(a)), sparrank.Weight(slot, sparrank.Name(b))
-		switch {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return strings.Compare(a, b)
+	names := slices.SortedFunc(maps.Keys(weights), func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), strings.Compare(a, b))
 	})
+	if len(s.orders) >= maxOrders {
+		clear(s.orders)
+	}
+	s.orders[slot] = names
 	return names
 }
+
+// peer returns the peer called name, new where it was unknown.
+func (s *Sync) peer(vm sparconfig.VM) *peer {
+	p := s.peers[vm.Name]
+	if p == nil {
+		p = &peer{vm: vm}
+		s.peers[vm.Name] = p
+		clear(s.orders)
+	}
+	return p
+}
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -45,11 +45,13 @@
 // reader and the list of VMs, so VMs with the same list agree on it.
 func (s *Sync) order() []string {
 	reader := s.source.reader
-	names := s.names(int(sparrank.Name(reader) >> 33))
-	names = slices.DeleteFunc(names, func(name string) bool {
-		return name == reader || name != s.self.Name && !s.peers[name].known
-	})
-	return append([]string{reader}, names...)
+	order := []string{reader}
+	for _, name := range s.names(int(sparrank.Name(reader) >> 33)) {
+		if name != reader && (name == s.self.Name || s.peers[name].known) {
+			order = append(order, name)
+		}
+	}
+	return order
 }
 
 // below returns those that the VM at a position tells: its children, and the
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -103,7 +103,8 @@
 	// listing is the entry that this VM keeps in the platform.
 	listing struct {
 		busy bool
-		at   time.Duration // last try
+		at   time.Duration      // last try
+		held sparregistry.Entry // as last written
 	}
 )
 
@@ -180,10 +181,10 @@
 	})
 	vm.logStart()
 	err = group.Wait()
-	vm.logStop(err)
 	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
-		return nil
+		err = nil
 	}
+	vm.logStop(err)
 	return err
 }
 
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -76,7 +76,7 @@
 			vm.logListFailed(in.err)
 			break
 		}
-		vm.adopt(vm.registry.With(in.entry), vm.file.Name)
+		vm.listed.held = in.entry
 	}
 	vm.logState(state)
 	vm.logEvents()
@@ -177,20 +177,25 @@
 	}
 }
 
-// register lists this VM in the platform where the settings lack it.
+// register lists this VM in the platform where the settings lack it. What it writes
+// comes back with the next reading: taken over at once, it would make the registry
+// look complete at a revision whose other changes it has not seen.
 func (vm *VM) register(now time.Duration) {
 	if !vm.synced || vm.listed.busy || vm.sync.Failing() || !vm.stopping.IsZero() ||
-		vm.listed.at > 0 && now-vm.listed.at < listEvery {
+		vm.listed.at > 0 && now-vm.listed.at < listEvery || vm.registry.Revision() < vm.listed.held.Revision {
 		return
 	}
 	key := sparroster.VMPrefix + vm.file.Name
-	held, ok := vm.registry.Get(key)
+	expected := uint64(0)
 	text := vm.file.VM().Text()
-	if ok && string(held.Value) == string(text) {
-		return
+	if held, ok := vm.registry.Get(key); ok {
+		if string(held.Value) == string(text) {
+			return
+		}
+		expected = held.Revision
 	}
-	vm.listed = listing{busy: true, at: now}
-	vm.writes.Put(sparregistry.Entry{Key: key, Value: text, Revision: held.Revision})
+	vm.listed.busy, vm.listed.at = true, now
+	vm.writes.Put(sparregistry.Entry{Key: key, Value: text, Revision: expected})
 }
 
 // perform does what the settings need.
