--- /dev/null
+++ b/internal/route/sparcookie/engine_test.go
@@ -0,0 +1,181 @@
+package sparcookie_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+const (
+	booking  = "booking"
+	receipts = "receipts"
+	rtt      = 7 * time.Millisecond
+	again    = 200 * time.Millisecond // after which a caller repeats
+)
+
+var (
+	watch  = endpoint("198.51.100.1:80")   // repeatable
+	holds  = endpoint("198.51.100.1:81")   // at most once
+	sheets = endpoint("198.51.100.1:82")   // of another service
+	nobody = endpoint("198.51.100.9:9999") // has no route
+)
+
+// fixture is an engine with a roster that a test changes.
+type fixture struct {
+	t         *testing.T
+	engine    *sparcookie.Engine
+	now       time.Duration
+	upstreams []sparroster.Upstream
+	routes    []sparroster.Route
+	port      uint16
+}
+
+func endpoint(s string) sparflow.Endpoint {
+	e, err := sparflow.ParseEndpoint(s)
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func upstream(id uint64, domain string) sparroster.Upstream {
+	return sparroster.Upstream{
+		ID: id, Service: booking, Domain: domain, Slots: 2, Born: int64(id),
+		At: sparflow.MakeEndpoint(0x0a000000+uint32(id), 8080),
+	}
+}
+
+// newFixture has three upstreams in the domain of the VM and two elsewhere.
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, engine: sparcookie.New("north", 10_000), now: time.Second, port: 1000}
+	for id := range uint64(5) {
+		domain := "north"
+		if id > 2 {
+			domain = "south"
+		}
+		f.upstreams = append(f.upstreams, upstream(id+1, domain))
+	}
+	other := upstream(50, "north")
+	other.Service = receipts
+	f.upstreams = append(f.upstreams, other)
+	f.routes = []sparroster.Route{
+		{Address: watch, Targets: []sparroster.Target{{Service: booking, Weight: 1}}, Repeatable: true},
+		{Address: holds, Targets: []sparroster.Target{{Service: booking, Weight: 1}}},
+		{Address: sheets, Targets: []sparroster.Target{{Service: receipts, Weight: 1}}, Repeatable: true},
+	}
+	f.apply()
+	f.engine.Fresh(true)
+	return f
+}
+
+// apply puts the roster of the fixture in force.
+func (f *fixture) apply() {
+	registry := sparregistry.Registry{}
+	facts := map[string]sparroster.Fact{sparroster.RoutingKey: sparroster.Routing{Version: 1, Routes: f.routes, Idle: 15 * time.Second}}
+	for _, u := range f.upstreams {
+		facts[fmt.Sprint(sparroster.UpstreamPrefix, u.ID)] = u
+	}
+	for key := range facts {
+		registry = registry.With(sparregistry.Entry{Key: key, Revision: 1})
+	}
+	f.engine.Advance(f.now)
+	f.engine.Apply(sparroster.New(registry, func(key string, _ []byte) (sparroster.Fact, error) { return facts[key], nil }))
+}
+
+// edit changes one upstream of the roster.
+func (f *fixture) edit(id uint64, change func(u *sparroster.Upstream)) {
+	for i := range f.upstreams {
+		if f.upstreams[i].ID == id {
+			change(&f.upstreams[i])
+		}
+	}
+	f.apply()
+}
+
+// remove takes one upstream out of the roster.
+func (f *fixture) remove(id uint64) {
+	kept := f.upstreams[:0]
+	for _, u := range f.upstreams {
+		if u.ID != id {
+			kept = append(kept, u)
+		}
+	}
+	f.upstreams = kept
+	f.apply()
+}
+
+func (f *fixture) wait(d time.Duration) {
+	f.now += d
+	f.engine.Advance(f.now)
+	f.engine.Tick()
+}
+
+func (f *fixture) forward(s sparcookie.Segment) sparcookie.Verdict {
+	f.engine.Advance(f.now)
+	return f.engine.Forward(s)
+}
+
+// caller is one flow as its caller sees it.
+type caller struct {
+	f        *fixture
+	s        sparcookie.Segment
+	upstream uint64
+}
+
+func (f *fixture) caller(to sparflow.Endpoint) *caller {
+	f.port++
+	return &caller{f: f, s: sparcookie.Segment{From: sparflow.MakeEndpoint(0x64400001, f.port), To: to, Seq: 100}}
+}
+
+// open sends the opening.
+func (c *caller) open() sparcookie.Verdict {
+	s := c.s
+	s.Kind = sparcookie.Opening
+	v := c.f.forward(s)
+	c.upstream, c.s.Cookie = v.ID, v.Cookie
+	return v
+}
+
+// answered acknowledges the answer to the opening.
+func (c *caller) answered() sparcookie.Verdict {
+	c.f.wait(rtt)
+	c.s.Seq, c.s.Ack = 101, 500
+	return c.f.forward(c.s)
+}
+
+// ask sends a request; the same one until it is answered.
+func (c *caller) ask() sparcookie.Verdict {
+	s := c.s
+	s.Size = 100
+	return c.f.forward(s)
+}
+
+// get acknowledges the answer to a request.
+func (c *caller) get() sparcookie.Verdict {
+	c.s.Seq += 100
+	c.s.Ack += 400
+	return c.f.forward(c.s)
+}
+
+func wantVerdict(t *testing.T, got sparcookie.Verdict, action sparcookie.Action, cause sparcookie.Cause) {
+	t.Helper()
+	if got.Action != action || got.Cause != cause {
+		t.Fatalf("verdict %v %v, want %v %v", got.Action, got.Cause, action, cause)
+	}
+}
+
+// Example opens a flow at one VM and carries it on at another that never saw it.
+func Example() {
+	t := &testing.T{}
+	first, second := newFixture(t), newFixture(t)
+	c := first.caller(watch)
+	c.open()
+	elsewhere := &caller{f: second, s: c.s}
+	fmt.Println(elsewhere.answered().ID == c.upstream)
+	// Output: true
+}
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -77,7 +77,7 @@
 	}
 	if waited := e.now - max(f.asked, f.moved); waited >= copyAfter {
 		seen.repeated, seen.waited = true, waited
-		if f.upstream.heard < f.asked {
+		if f.upstream.heard <= f.asked {
 			e.suspect(f.upstream, f)
 		}
 	}
