--- /dev/null
+++ b/internal/settings/sparconfig/carrier_test.go
@@ -0,0 +1,67 @@
+package sparconfig_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+)
+
+const (
+	geneveFile = `{"name": "vm-1", "domain": "north", "data": "127.0.0.1:1", "control": "127.0.0.1:2",
+		"fabric": "127.0.0.1:3", "platform": "127.0.0.1:4", "secret": "000102030405060708090a0b0c0d0e0f"}`
+	cookieFile = `{"carrier": "cookie", "name": "vm-1", "domain": "north", "data": "127.0.0.1:1", // packets
+		"control": "127.0.0.1:2", "ready": "127.0.0.1:3", "platform": "127.0.0.1:4", "seeds": ["127.0.0.1:5"]}`
+)
+
+func TestFilesOfBothCarriers(t *testing.T) {
+	f, err := sparconfig.ParseFile([]byte(geneveFile))
+	if err != nil || f.Carrier != sparconfig.Geneve || f.Flows != sparconfig.DefaultFlows {
+		t.Errorf("%+v, error %v", f, err)
+	}
+	f, err = sparconfig.ParseFile([]byte(cookieFile))
+	if err != nil || f.Carrier != sparconfig.Cookie || f.Force != sparconfig.DefaultForce || f.Grace != sparconfig.DefaultGrace {
+		t.Errorf("%+v, error %v", f, err)
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	with := func(text, field string) string { return strings.Replace(text, "{", "{"+field+", ", 1) }
+	cases := map[string]struct{ text, names string }{
+		"unknown carrier":        {strings.Replace(cookieFile, `"cookie"`, `"pigeon"`, 1), "carrier"},
+		"no address to ask":      {strings.Replace(cookieFile, `"ready": "127.0.0.1:3", `, "", 1), "ready"},
+		"secret with cookie":     {with(cookieFile, `"secret": "00"`), "secret"},
+		"ready with geneve":      {with(geneveFile, `"ready": "127.0.0.1:9"`), "ready"},
+		"in force too soon":      {with(cookieFile, `"force": 10`), "force"},
+		"in force too late":      {with(cookieFile, `"force": 3600000`), "force"},
+		"grace below its least":  {with(cookieFile, `"grace": -1`), "grace"},
+		"unknown field":          {with(cookieFile, `"colour": "red"`), "colour"},
+		"seed that is a name":    {strings.Replace(cookieFile, "127.0.0.1:5", "seed:5", 1), "seeds[0]"},
+		"platform without port":  {strings.Replace(cookieFile, "127.0.0.1:4", "127.0.0.1", 1), "platform"},
+		"geneve without fabric":  {strings.Replace(geneveFile, `"fabric": "127.0.0.1:3", `, "", 1), "fabric"},
+		"geneve, a short secret": {strings.Replace(geneveFile, "000102", "", 1), "secret"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := sparconfig.ParseFile([]byte(c.text))
+			if err == nil || !strings.Contains(err.Error(), c.names) {
+				t.Errorf("error %v, want one that names %s", err, c.names)
+			}
+		})
+	}
+}
+
+func TestBadVMs(t *testing.T) {
+	for name, text := range map[string]string{
+		"no control address": `{"domain": "north", "data": "10.0.0.1:1"}`,
+		"no data address":    `{"domain": "north", "control": "10.0.0.1:1"}`,
+		"unreadable":         `{"domain": `,
+		"another type":       `[]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			if v, err := sparconfig.ParseVM("vm-1", []byte(text)); err == nil {
+				t.Errorf("taken as %+v", v)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/settings/sparroster/roster_test.go
@@ -0,0 +1,49 @@
+package sparroster_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+var front = sparflow.MakeEndpoint(0xc6120001, 443)
+
+// decode is the form of these tests: the value is the service of an upstream.
+func decode(key string, value []byte) (sparroster.Fact, error) {
+	switch {
+	case key == sparroster.RoutingKey:
+		return sparroster.Routing{Version: 3, Routes: []sparroster.Route{{Address: front, Targets: []sparroster.Target{{Service: "a"}}}}}, nil
+	case len(value) == 0:
+		return nil, errors.New("empty")
+	}
+	return sparroster.Upstream{ID: uint64(len(key)), Service: string(value)}, nil
+}
+
+// ExampleNew shows that an entry that cannot be read leaves the others in force.
+func ExampleNew() {
+	r := sparregistry.Registry{}.With(
+		sparregistry.Entry{Key: sparroster.RoutingKey, Revision: 1},
+		sparregistry.Entry{Key: "upstream/1", Value: []byte("a"), Revision: 2},
+		sparregistry.Entry{Key: "upstream/22", Revision: 3},
+	)
+	roster := sparroster.New(r, decode)
+	route, ok := roster.Route(front)
+	fmt.Println(len(roster.Upstreams), route.Takes("a"), route.Takes("b"), ok)
+	fmt.Println(roster.Problems[0].Key, roster.Problems[0].Cause)
+	// Output:
+	// 1 true false true
+	// upstream/22 empty
+}
+
+func TestDeletedEntriesAreLeftOut(t *testing.T) {
+	r := sparregistry.Registry{}.With(sparregistry.Entry{Key: "upstream/1", Value: []byte("a"), Revision: 2})
+	r = r.Reading(nil, 3)
+	if roster := sparroster.New(r, decode); len(roster.Upstreams) != 0 {
+		t.Errorf("upstreams %v", roster.Upstreams)
+	}
+}
--- /dev/null
+++ b/internal/vm/sparentry/entry_test.go
@@ -0,0 +1,397 @@
+package sparentry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/log/sparlog"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/vm/sparentry"
+	"github.com/oleanderspar/oleanderspar/platform"
+	"github.com/oleanderspar/oleanderspar/platform/sparfake"
+)
+
+const patience = 5 * time.Second
+
+var front = sparflow.MakeEndpoint(0xc6120001, 8080) // 198.18.0.1:8080
+
+type (
+	// site is a platform with VMs on loopback, and one upstream.
+	site struct {
+		t     *testing.T
+		fake  *sparfake.Store
+		store string
+		up    *net.UDPConn
+	}
+
+	// vm is one running VM.
+	vm struct {
+		site   *site
+		file   sparconfig.File
+		store  *platform.Store
+		log    *lines
+		reload chan sparconfig.File
+		stop   func()
+		done   chan error
+	}
+
+	// lines is a log that tests search.
+	lines struct {
+		mu   sync.Mutex
+		text bytes.Buffer
+	}
+)
+
+func (l *lines) Write(b []byte) (n int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+// find returns the first line with a message, and whether there is one.
+func (l *lines) find(message string) (fields map[string]any, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range strings.Split(l.text.String(), "\n") {
+		if strings.Contains(line, `"msg":"`+message+`"`) {
+			return fields, json.Unmarshal([]byte(line), &fields) == nil
+		}
+	}
+	return nil, false
+}
+
+func newSite(t *testing.T) *site {
+	fake := sparfake.NewStore()
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.CloseClientConnections)
+	up, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = up.Close() })
+	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up}
+	fake.Put("op/config", []byte(`{"version":3,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8080/","type":"idempotent","service":"booking"}]}`))
+	fake.Put("servers/i-7f3a", fmt.Appendf(nil, `{"service":"booking","address":"%s","zone":"north","max_concurrency":2,"state":"ready","warmup_left_ms":0}`, up.LocalAddr()))
+	return s
+}
+
+// free returns an address of loopback whose port is free for UDP and TCP.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs a VM until the test ends.
+func (s *site) start(name string, seeds ...string) *vm {
+	file := sparconfig.File{
+		Carrier: sparconfig.Cookie, Name: name, Domain: "north", Data: free(s.t), Control: free(s.t), Ready: free(s.t),
+		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: 1,
+	}
+	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &lines{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
+	running, err := sparentry.New(file, v.store, sparlog.New(v.log, "json", logrus.InfoLevel, sparlog.FlowBurst))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	go func() { v.done <- running.Run(ctx, v.reload) }()
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-v.done:
+		case <-time.After(patience):
+			s.t.Error("the VM did not stop")
+		}
+	})
+	return v
+}
+
+func (v *vm) ready() bool {
+	r, err := http.Get("http://" + v.file.Ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode == http.StatusOK
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// opening is a SYN from the loopback caller to an address.
+func opening(to sparflow.Endpoint) []byte {
+	b := make([]byte, platform.HeadBytes)
+	binary.BigEndian.PutUint32(b[4:], to.IP())
+	binary.BigEndian.PutUint16(b[8:], 40001)
+	binary.BigEndian.PutUint16(b[10:], to.Port())
+	binary.BigEndian.PutUint32(b[12:], 0x7f000001)
+	b[30] = 4
+	return b
+}
+
+func (v *vm) send(b []byte) {
+	conn, err := net.Dial("udp4", v.file.Data)
+	if err != nil {
+		v.site.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write(b); err != nil {
+		v.site.t.Fatal(err)
+	}
+}
+
+// receive returns the next datagram at the upstream.
+func (s *site) receive() []byte {
+	s.t.Helper()
+	b := make([]byte, 2000)
+	_ = s.up.SetReadDeadline(time.Now().Add(patience))
+	n, err := s.up.Read(b)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return b[:n]
+}
+
+func TestReadyInFewCalls(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	fields, ok := v.log.find("ready")
+	if calls, _ := fields["calls"].(float64); !ok || calls > 3 {
+		t.Errorf("ready after %v calls, want at most 3", fields["calls"])
+	}
+	eventually(t, "listed", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+}
+
+func TestOpeningReachesItsUpstream(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	v.send(opening(front))
+	got := s.receive()
+	if len(got) != platform.TagBytes+platform.HeadBytes || binary.BigEndian.Uint64(got) != 0x7f3a {
+		t.Fatalf("datagram %x", got)
+	}
+	segment, err := platform.Parse(got[platform.TagBytes:])
+	if err != nil || segment.Cookie == 0 {
+		t.Errorf("cookie %x, error %v", segment.Cookie, err)
+	}
+	eventually(t, "a line for the opening", func() bool {
+		fields, ok := v.log.find("opening")
+		return ok && fields["flow"] == "127.0.0.1:40001>198.18.0.1:8080" && fields["upstream"] == "7f3a" && fields["cause"] == "placed"
+	})
+}
+
+// TestEarlyPacketsWait sends an opening before the VM knows settings.
+func TestEarlyPacketsWait(t *testing.T) {
+	s := newSite(t)
+	s.fake.Slow(300 * time.Millisecond)
+	v := s.start("vm-1")
+	v.send(opening(front))
+	if v.ready() {
+		t.Error("ready without settings")
+	}
+	s.receive()
+}
+
+func TestRefusedCallerGetsAReset(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	data := netip.MustParseAddrPort(v.file.Data)
+	caller, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2), Port: int(data.Port())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	b := opening(sparflow.MakeEndpoint(front.IP(), 9999))
+	binary.BigEndian.PutUint32(b[12:], 0x7f000002)
+	v.send(b)
+	_ = caller.SetReadDeadline(time.Now().Add(patience))
+	got := make([]byte, 100)
+	n, err := caller.Read(got)
+	if err != nil || n != platform.HeadBytes || got[30] != 16 {
+		t.Errorf("%x, error %v, want a reset", got[:n], err)
+	}
+	eventually(t, "a line for the refusal", func() bool {
+		fields, ok := v.log.find("flow refused")
+		return ok && fields["cause"] == "no-route" && fields["do"] == "reset"
+	})
+}
+
+// TestBadInput sends what no caller or VM sends, and then an opening.
+func TestBadInput(t *testing.T) {
+	s := newSite(t)
+	s.fake.Put("servers/i-1", []byte{0xff, 0x00})
+	s.fake.Put("servers/i-2", []byte(`{"service":7}`))
+	s.fake.Put("vm/", []byte(`{}`))
+	s.fake.Put("vm/vm-2", []byte(`{"control":"nowhere"}`))
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	for _, b := range [][]byte{{0}, make([]byte, 31), make([]byte, 3000), []byte("GET / HTTP/1.1\r\n\r\n")} {
+		v.send(b)
+	}
+	control, err := net.Dial("udp4", v.file.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = control.Close() }()
+	for _, b := range [][]byte{{0}, []byte("hello"), {0x1a, 0x02, 0x08, 0x01}, {0x22, 0x00}, {0x2a, 0x00}} {
+		if _, err := control.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	v.send(opening(front))
+	s.receive()
+	if _, ok := v.log.find("entry left out"); !ok {
+		t.Error("no line for an entry that cannot be read")
+	}
+	if _, ok := v.log.find("packet refused"); !ok {
+		t.Error("no line for a packet that cannot be read")
+	}
+}
+
+func TestSettingsSpreadWithOneReader(t *testing.T) {
+	s := newSite(t)
+	vms := []*vm{s.start("vm-1"), s.start("vm-2"), s.start("vm-3")}
+	for _, v := range vms {
+		eventually(t, "ready", v.ready)
+	}
+	eventually(t, "one VM reads", func() bool {
+		readers := 0
+		for _, v := range vms {
+			if fields, ok := v.log.find("settings role"); ok && fields["now"] != "" {
+				readers++
+			}
+		}
+		return readers == len(vms)
+	})
+	s.fake.Put("op/config", []byte(`{"version":4,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8080/","type":"idempotent","service":"booking"}]}`))
+	began := time.Now()
+	for _, v := range vms {
+		eventually(t, "version 4 everywhere", func() bool {
+			v.log.mu.Lock()
+			defer v.log.mu.Unlock()
+			return strings.Contains(v.log.text.String(), `"version":4`)
+		})
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("in force everywhere after %v, want 3 s", took)
+	}
+}
+
+// TestStartWhilePlatformIsAway learns settings from a seed.
+func TestStartWhilePlatformIsAway(t *testing.T) {
+	s := newSite(t)
+	first := s.start("vm-1")
+	eventually(t, "ready", first.ready)
+	s.fake.Fault(sparfake.Resets)
+	second := s.start("vm-2", first.file.Control)
+	eventually(t, "ready without the platform", second.ready)
+	eventually(t, "a line for the lost dependency", func() bool { _, ok := second.log.find("dependency lost"); return ok })
+	s.fake.Fault(sparfake.Sound)
+	eventually(t, "a line for the regained dependency", func() bool { _, ok := second.log.find("dependency regained"); return ok })
+}
+
+// TestLapsedEntriesAreKept takes an upstream's entry away while the platform is down.
+func TestLapsedEntriesAreKept(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	s.fake.Fault(sparfake.Refuses)
+	eventually(t, "the outage is noticed", func() bool { _, ok := v.log.find("dependency lost"); return ok })
+	s.fake.Remove("servers/i-7f3a")
+	s.fake.Fault(sparfake.Sound)
+	eventually(t, "the missing upstream is kept", func() bool {
+		_, ok := v.log.find("missing upstreams kept while the platform settles")
+		return ok
+	})
+	v.send(opening(front))
+	s.receive()
+	eventually(t, "the upstream is taken for gone in the end", func() bool { _, ok := v.log.find("upstream left"); return ok })
+}
+
+// TestOwnListingProvesNothing writes the listing of this VM at a revision between two
+// others, and checks that no entry is lost by it.
+func TestOwnListingProvesNothing(t *testing.T) {
+	s := newSite(t)
+	for i := range 6 {
+		s.start(fmt.Sprintf("vm-%d", i))
+	}
+	for i := range 6 {
+		eventually(t, "every VM is listed", func() bool { _, ok := s.fake.Get(fmt.Sprintf("vm/vm-%d", i)); return ok })
+	}
+	time.Sleep(2500 * time.Millisecond) // two tries to list, had one failed
+	calls := s.fake.Calls()
+	time.Sleep(time.Second)
+	if more := s.fake.Calls() - calls; more > 6 {
+		t.Errorf("%d calls in a second of calm, want the reader's 1 or 2", more)
+	}
+}
+
+func TestGracefulStop(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	v.stop()
+	eventually(t, "not ready", func() bool { return !v.ready() })
+	v.send(opening(front)) // the fabric has not left yet
+	s.receive()
+	eventually(t, "stopped", func() bool { _, ok := v.log.find("stop"); return ok })
+}
+
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	file := v.file
+	file.Seeds = []string{"127.0.0.1:9"}
+	v.reload <- file
+	eventually(t, "a line for the reload", func() bool {
+		fields, ok := v.log.find("reload")
+		return ok && fields["seeds"] == float64(1)
+	})
+}
+
+func TestMetrics(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	v.send(opening(front))
+	eventually(t, "metrics", func() bool {
+		r, err := http.Get("http://" + v.file.Control + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		var b bytes.Buffer
+		_, _ = b.ReadFrom(r.Body)
+		return strings.Contains(b.String(), `oleanderspar_packets{cause="placed"} 1`) && strings.Contains(b.String(), "oleanderspar_settings_version 3")
+	})
+}
