--- /dev/null
+++ b/cmd/sparsoak/main.go
@@ -0,0 +1,88 @@
+// Command sparsoak plays seeded faults against entry VMs on this machine and says which
+// promises were broken.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/oleanderspar/oleanderspar/internal/proof/sparsoak"
+)
+
+type arguments struct {
+	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Count   int           `arg:"--count" default:"1" help:"number of seeds, each in turn"`
+	For     time.Duration `arg:"--for" default:"20s" help:"how long faults go on in each"`
+	VMs     int           `arg:"--vms" default:"6" help:"processes"`
+	Users   int           `arg:"--users" default:"24" help:"users of flows"`
+	Keep    string        `arg:"--keep" help:"directory for the logs of VMs"`
+	Program string        `arg:"--program" help:"program of a VM, otherwise built here"`
+	JSON    bool          `arg:"--json" help:"one JSON object for each seed"`
+	Quiet   bool          `arg:"--quiet" help:"no progress"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	broken, err := run(a)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "sparsoak: %v\n", err)
+		os.Exit(2)
+	}
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) (broken int, err error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if a.Program == "" {
+		dir, err := os.MkdirTemp("", "sparsoak")
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		a.Program = filepath.Join(dir, "sparentry")
+		build := exec.CommandContext(ctx, "go", "build", "-o", a.Program, "./cmd/sparentry")
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			return 0, err
+		}
+	}
+	for n := range a.Count {
+		p := sparsoak.Plan{Program: a.Program, Seed: a.Seed + uint64(n), For: a.For, VMs: a.VMs, Users: a.Users, Keep: a.Keep}
+		if !a.Quiet {
+			p.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
+		}
+		report, err := sparsoak.Run(ctx, p)
+		if err != nil {
+			return broken, err
+		}
+		if ctx.Err() != nil {
+			return broken, nil
+		}
+		broken += len(report.Broken)
+		if err := print(report, a.JSON); err != nil {
+			return broken, err
+		}
+	}
+	return broken, nil
+}
+
+func print(r sparsoak.Report, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	_, err := fmt.Print(r.Text())
+	return err
+}
