sparconfig: the carrier as a sealed interface; a request to a mute upstream is refused at once

Cause: flows of an upstream known to be lost waited for their request to be repeated, 200 ms, before they were ended. Change: a repeatable flow ends at its next request. Upstreams that have left are not judged any more.

--- a/internal/operator/sparcli/serve.go
+++ b/internal/operator/sparcli/serve.go
@@ -41,9 +41,16 @@
 	if err != nil {
 		return exit{Invalid, errors.Annotate(err, "--log")}
 	}
-	if file.Carrier == sparconfig.Cookie {
+	switch file.Wire().(type) {
+	case sparconfig.CookieCarrier:
 		return sparlaunch.Run(ctx, c.File, file, level, out.stdout)
+	case sparconfig.GeneveCarrier:
+		return serveGeneve(ctx, file, level, out)
 	}
+	return nil
+}
+
+func serveGeneve(ctx context.Context, file sparconfig.File, level logrus.Level, out streams) (err error) {
 	server, err := sparserver.New(file, sparlog.New(out.stderr, file.Log, level, sparlog.Burst))
 	if err != nil {
 		return err
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -180,7 +180,7 @@
 // Tick does what time makes due.
 func (e *Engine) Tick() {
 	for _, u := range e.upstreams {
-		if u.health.Tick(e.now, 0) {
+		if !u.gone && u.health.Tick(e.now, 0) {
 			u.pending = 0 // the trial is judged by its own opening
 			e.judge(u, true)
 		}
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -115,7 +115,7 @@
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
-	if seen.repeated && p.route.Repeatable && e.mute(u) {
+	if s.Size > 0 && p.route.Repeatable && e.mute(u) {
 		e.forget(key)
 		return e.reset(UpstreamMute, u)
 	}
--- a/internal/route/sparcookie/place_test.go
+++ b/internal/route/sparcookie/place_test.go
@@ -188,6 +188,10 @@
 	if resets < 3 { // of 6 repeatable flows, the first few are the evidence
 		t.Errorf("%d flows of a dead upstream were ended, want 3 at least", resets)
 	}
+	// A request that comes now need not wait to be repeated.
+	idle := &caller{f: f, s: flows[0].s, upstream: 1}
+	idle.s.From += 5000
+	wantVerdict(t, idle.ask(), sparcookie.Reset, sparcookie.UpstreamMute)
 }
 
 // TestBusyUpstreamIsNotMute repeats requests of an upstream that answers openings: it
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -39,6 +40,24 @@
 		Grace    int64    `json:"grace,omitempty"`   // seconds from SIGTERM to the kill; cookie
 	}
 
+	// Carrier says how the fabric hands over packets, and so how a VM finds the upstream
+	// of a flow again. It is a sealed interface: GeneveCarrier or CookieCarrier.
+	Carrier interface {
+		carrier()
+	}
+
+	// GeneveCarrier wraps packets; owners among the VMs know the flows.
+	GeneveCarrier struct {
+		Fabric string // UDP address that packets go back to
+	}
+
+	// CookieCarrier lets both ends of a flow echo a cookie that names its upstream.
+	CookieCarrier struct {
+		Ready string        // HTTP address that the fabric asks whether to send packets
+		Force time.Duration // within which settings must be in force everywhere
+		Grace time.Duration // from SIGTERM to the kill
+	}
+
 	// VM is one entry of the platform's list of VMs.
 	VM struct {
 		Name    string `json:"-"`
@@ -69,6 +88,19 @@
 	maxGrace     = 600
 )
 
+func (GeneveCarrier) carrier() {}
+func (CookieCarrier) carrier() {}
+
+// Wire returns the carrier of the VM with its settings.
+func (f File) Wire() Carrier {
+	if f.Carrier == Cookie {
+		return CookieCarrier{
+			Ready: f.Ready, Force: time.Duration(f.Force) * time.Millisecond, Grace: time.Duration(f.Grace) * time.Second,
+		}
+	}
+	return GeneveCarrier{Fabric: f.Fabric}
+}
+
 // ReadFile reads and checks a settings file. The error names the file.
 func ReadFile(path string) (f File, err error) {
 	defer func() {
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -66,6 +66,7 @@
 	// VM is one running entry VM. Use New.
 	VM struct {
 		file  sparconfig.File
+		wire  sparconfig.CookieCarrier
 		log   *logrus.Entry
 		store Store
 
@@ -115,13 +116,17 @@
 			err = errors.Annotatef(err, "VM %s", file.Name)
 		}
 	}()
+	wire, ok := file.Wire().(sparconfig.CookieCarrier)
+	if !ok {
+		return nil, errors.Errorf("carrier %s, expected %s", file.Carrier, sparconfig.Cookie)
+	}
 	vm = &VM{
 		file: file, log: log.WithField("vm", file.Name), store: store, began: time.Now(),
 		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
 		asks: sparring.New[ask](askRing), pulls: sparring.New[pull](pullRing),
 		reads: sparring.New[time.Duration](1), writes: sparring.New[sparregistry.Entry](1),
 		engine:   sparcookie.New(file.Domain, file.Flows),
-		sync:     sparsync.New(file.VM(), time.Duration(file.Force)*time.Millisecond),
+		sync:     sparsync.New(file.VM(), wire.Force), wire: wire,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
 		reachable: true,
 	}
@@ -144,7 +149,7 @@
 	if vm.web, err = net.Listen("tcp4", vm.file.Control); err != nil {
 		return err
 	}
-	vm.probe, err = net.Listen("tcp4", vm.file.Ready)
+	vm.probe, err = net.Listen("tcp4", vm.wire.Ready)
 	return err
 }
 
@@ -229,12 +234,15 @@
 
 // leaveAfter returns how long to go on after SIGTERM, well before the kill.
 func (vm *VM) leaveAfter() time.Duration {
-	return min(leaveAfter, time.Duration(vm.file.Grace)*time.Second/2)
+	return min(leaveAfter, vm.wire.Grace/2)
 }
 
 // reload takes the settings that may change while the VM runs. Addresses stay.
 func (vm *VM) reload(file sparconfig.File) {
-	vm.file.Seeds, vm.file.Grace = file.Seeds, file.Grace
+	vm.file.Seeds = file.Seeds
+	if wire, ok := file.Wire().(sparconfig.CookieCarrier); ok {
+		vm.wire.Grace = wire.Grace
+	}
 	vm.sync.Seeds(file.Seeds)
 	vm.logReload()
 }
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -145,8 +145,8 @@
 
 func (vm *VM) logStart() {
 	vm.log.WithFields(logrus.Fields{
-		"data": vm.file.Data, "control": vm.file.Control, "ready": vm.file.Ready, "platform": vm.file.Platform,
-		"domain": vm.file.Domain, "force_ms": vm.file.Force, "grace_s": vm.file.Grace,
+		"data": vm.file.Data, "control": vm.file.Control, "ready": vm.wire.Ready, "platform": vm.file.Platform,
+		"domain": vm.file.Domain, "force_ms": vm.wire.Force.Milliseconds(), "grace_s": vm.wire.Grace.Seconds(),
 	}).Info("start")
 	vm.note("started", "", "", 0)
 }
@@ -163,7 +163,7 @@
 }
 
 func (vm *VM) logReload() {
-	vm.log.WithFields(logrus.Fields{"seeds": len(vm.file.Seeds), "grace_s": vm.file.Grace}).Info("reload")
+	vm.log.WithFields(logrus.Fields{"seeds": len(vm.file.Seeds), "grace_s": vm.wire.Grace.Seconds()}).Info("reload")
 	vm.note("reload", "", "", 0)
 }
 
