--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// fanOut is the number of VMs that one VM tells. 1,400 VMs are five steps away
+	// fanOut is the number of VMs that one VM tells. 1,400 VMs are six steps away
 	// at most, and a notice of about 120 bytes keeps each far below 1 KB/s.
 	fanOut = 4
 	// deadAfter is the number of notices without an answer after which those below
