sparroster, sparexplain: decode only what changed; a command that explains a flow

Change: a roster is made with the one before it. oleanderspar explain joins the log lines of all VMs for one flow.

--- a/internal/operator/sparcli/cli.go
+++ b/internal/operator/sparcli/cli.go
@@ -54,6 +54,7 @@
 		Drain    *drainCommand    `arg:"subcommand:drain" help:"drain an upstream"`
 		Status   *statusCommand   `arg:"subcommand:status" help:"say what is true now, one fact a line"`
 		Timeline *timelineCommand `arg:"subcommand:timeline" help:"print the events of all VMs in order"`
+		Explain  *explainCommand  `arg:"subcommand:explain" help:"join the log lines of all VMs that explain a flow"`
 	}
 
 	// command is one subcommand.
--- a/internal/operator/sparcli/read.go
+++ b/internal/operator/sparcli/read.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/operator/sparevents"
+	"github.com/oleanderspar/oleanderspar/internal/operator/sparexplain"
 	"github.com/oleanderspar/oleanderspar/internal/operator/sparstatus"
 )
 
@@ -26,6 +29,11 @@
 		JSON    bool          `arg:"--json" help:"one JSON object a line"`
 	}
 
+	explainCommand struct {
+		Flow string   `arg:"positional,required" help:"an end of the flow, a.b.c.d:port, or both as a log has them"`
+		Logs []string `arg:"positional,required" help:"log files of VMs"`
+	}
+
 	// line is one event in JSON.
 	line struct {
 		At      string `json:"at"`
@@ -62,6 +70,26 @@
 	return nil
 }
 
+func (c *explainCommand) run(_ context.Context, out streams) (err error) {
+	var logs []io.Reader
+	for _, path := range c.Logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return exit{Invalid, err}
+		}
+		defer func() { _ = f.Close() }() // only read
+		logs = append(logs, f)
+	}
+	story, err := sparexplain.Read(logs, c.Flow)
+	if err != nil {
+		return err
+	}
+	for _, line := range story {
+		fmt.Fprintln(out.stdout, line)
+	}
+	return nil
+}
+
 func formatEvent(e spartimeline.Event, asJSON bool) string {
 	if asJSON {
 		text, err := json.Marshal(line{
--- /dev/null
+++ b/internal/route/sparcookie/slope_test.go
@@ -0,0 +1,89 @@
+package sparcookie_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+// flowBytes bounds the memory of a flow on record: 32,000 flows of a VM of the fleet in
+// a twentieth of its 256 MB.
+const flowBytes = 400
+
+// fleet is a fixture with upstreams and routes of a size.
+func fleet(upstreams, routes int) *fixture {
+	f := &fixture{t: &testing.T{}, engine: sparcookie.New("north", 1<<20), now: time.Second}
+	for n := range upstreams {
+		u := upstream(uint64(n+1), fmt.Sprintf("domain-%d", n%11))
+		u.Service = fmt.Sprintf("service-%d", n%(routes/2+1))
+		f.upstreams = append(f.upstreams, u)
+	}
+	for n := range routes {
+		f.routes = append(f.routes, sparroster.Route{
+			Address: sparflow.MakeEndpoint(0xc6120000+uint32(n), 443),
+			Targets: []sparroster.Target{{Service: fmt.Sprintf("service-%d", n%(routes/2+1)), Weight: 1}},
+		})
+	}
+	f.apply()
+	return f
+}
+
+func TestFlowMemory(t *testing.T) {
+	const flows = 30_000
+	f := newFixture(t)
+	f.engine = sparcookie.New("north", flows)
+	f.apply()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range flows {
+		c := f.caller(watch)
+		c.open()
+		c.answered()
+		f.now -= rtt // all at one moment, so that none ends
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	got := (after.HeapAlloc - before.HeapAlloc) / flows
+	t.Logf("%d bytes a flow", got)
+	if got > flowBytes {
+		t.Errorf("%d bytes a flow, want at most %d", got, flowBytes)
+	}
+	runtime.KeepAlive(f)
+}
+
+// BenchmarkApply puts settings of several sizes in force, up to those of the fleet.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range []struct{ upstreams, routes int }{{18, 115}, {150, 245}, {7800, 1300}} {
+		b.Run(fmt.Sprintf("%d upstreams, %d routes", size.upstreams, size.routes), func(b *testing.B) {
+			f := fleet(size.upstreams, size.routes)
+			roster := f.engine.Roster()
+			b.ReportAllocs()
+			for b.Loop() {
+				f.engine.Apply(roster)
+			}
+		})
+	}
+}
+
+// BenchmarkOpen places openings among 6 upstreams of a service, and among 700.
+func BenchmarkOpen(b *testing.B) {
+	for _, size := range []struct{ upstreams, routes int }{{12, 2}, {7800, 20}} {
+		b.Run(fmt.Sprintf("%d of a service", size.upstreams/(size.routes/2+1)), func(b *testing.B) {
+			f := fleet(size.upstreams, size.routes)
+			to := sparflow.MakeEndpoint(0xc6120000, 443)
+			b.ReportAllocs()
+			for b.Loop() {
+				c := f.caller(to)
+				c.open()
+				c.s.Kind = sparcookie.Resetting
+				f.forward(c.s)
+			}
+		})
+	}
+}
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -103,6 +103,14 @@
 		Problems  []Problem
 
 		routes map[sparflow.Endpoint]Route
+		read   map[string]reading
+	}
+
+	// reading is an entry as decoded at a revision.
+	reading struct {
+		revision uint64
+		fact     Fact
+		err      error
 	}
 )
 
@@ -112,31 +120,47 @@
 
 // New returns the roster that the live entries of a registry make up.
 func New(registry sparregistry.Registry, decode Decoder) Roster {
-	r := Roster{
+	return Roster{}.With(registry, decode)
+}
+
+// With returns the roster that the live entries of a registry make up. Entries that r
+// has read at the same revision are not decoded again.
+func (r Roster) With(registry sparregistry.Registry, decode Decoder) Roster {
+	next := Roster{
 		Revision: registry.Revision(), Digest: registry.Digest(),
-		Routing: Routing{Idle: DefaultIdle}, routes: map[sparflow.Endpoint]Route{},
+		Routing: Routing{Idle: DefaultIdle}, routes: map[sparflow.Endpoint]Route{}, read: map[string]reading{},
 	}
 	for _, e := range registry.Under("") {
-		fact, err := decode(e.Key, e.Value)
-		if err != nil {
-			r.Problems = append(r.Problems, Problem{Key: e.Key, Revision: e.Revision, Cause: err.Error()})
-			continue
-		}
-		switch fact := fact.(type) {
-		case Routing:
-			r.Routing = fact
-		case Upstream:
-			r.Upstreams = append(r.Upstreams, fact)
-		case VM:
-			r.VMs = append(r.VMs, fact.VM)
+		known, ok := r.read[e.Key]
+		if !ok || known.revision != e.Revision {
+			fact, err := decode(e.Key, e.Value)
+			known = reading{revision: e.Revision, fact: fact, err: err}
 		}
+		next.read[e.Key] = known
+		next.add(e.Key, known)
+	}
+	for _, route := range next.Routing.Routes {
+		next.routes[route.Address] = route
+	}
+	slices.SortFunc(next.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(next.VMs, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
+	return next
+}
+
+// add takes one decoded entry.
+func (r *Roster) add(key string, entry reading) {
+	if entry.err != nil {
+		r.Problems = append(r.Problems, Problem{Key: key, Revision: entry.revision, Cause: entry.err.Error()})
+		return
 	}
-	for _, route := range r.Routing.Routes {
-		r.routes[route.Address] = route
+	switch fact := entry.fact.(type) {
+	case Routing:
+		r.Routing = fact
+	case Upstream:
+		r.Upstreams = append(r.Upstreams, fact)
+	case VM:
+		r.VMs = append(r.VMs, fact.VM)
 	}
-	slices.SortFunc(r.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(r.VMs, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
-	return r
 }
 
 // Route returns the route of an address.
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -47,3 +47,29 @@
 		t.Errorf("upstreams %v", roster.Upstreams)
 	}
 }
+
+func TestUnchangedEntriesAreNotDecodedAgain(t *testing.T) {
+	calls := 0
+	counting := func(key string, value []byte) (sparroster.Fact, error) {
+		calls++
+		return decode(key, value)
+	}
+	registry := sparregistry.Registry{}
+	for n := range 100 {
+		registry = registry.With(sparregistry.Entry{Key: fmt.Sprint("upstream/", n), Value: []byte("a"), Revision: uint64(n + 1)})
+	}
+	roster := sparroster.New(registry, counting)
+	registry = registry.With(sparregistry.Entry{Key: "upstream/7", Value: []byte("b"), Revision: 200})
+	if roster = roster.With(registry, counting); calls != 101 {
+		t.Errorf("%d entries decoded, want 100 and the changed one", calls)
+	}
+	found := 0
+	for _, u := range roster.Upstreams {
+		if u.Service == "b" {
+			found++
+		}
+	}
+	if found != 1 || len(roster.Upstreams) != 100 {
+		t.Errorf("%d of %d upstreams changed", found, len(roster.Upstreams))
+	}
+}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -164,7 +164,7 @@
 		return
 	}
 	before := vm.engine.Roster()
-	roster := sparroster.New(next, platform.Decode)
+	roster := before.With(next, platform.Decode)
 	vm.engine.Apply(roster)
 	vm.sync.List(roster.VMs)
 	vm.logSettings(before, roster, source)
