sparcookie: requests that nothing answers go through another VM, no flow is ended for silence

Ruled out: the check for an upstream that has left (no such reset in the log), and a reset on the word of a second VM, since that one may be cut as well. Change: a request that is repeated in vain, or goes to a mute upstream, is sent through another VM too, marked in a byte outside of the sum; that VM passes it on by its cookie. Each repeat takes the next VM, those of the upstream's failure domain first.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -4,7 +4,7 @@
 // saw a flow reads its upstream off the packet. VMs agree on flows by agreeing on
 // one table, cookie to upstream, which follows from the roster alone:
 //
-//	e := sparcookie.New("north", 10_000)
+//	e := sparcookie.New("vm-1", "north", 10_000)
 //	e.Advance(now)
 //	e.Apply(roster)
 //	switch v := e.Forward(segment); v.Action {
@@ -40,6 +40,7 @@
 type (
 	// Engine is the routing state of one VM. Use New.
 	Engine struct {
+		name      string
 		domain    string
 		now       time.Duration
 		fresh     bool
@@ -49,6 +50,7 @@
 		cookies   map[Cookie]*upstream
 		services  map[string][]*upstream // in the roster, by id
 		siblings  int                    // VMs of this failure domain, this one included
+		helpers   []helper               // other VMs
 		flows     map[flowKey]*flow
 		maxFlows  int
 		swept     time.Duration
@@ -82,11 +84,11 @@
 	}
 )
 
-// New returns an engine for a VM in a failure domain, with records of at most
-// maxFlows flows.
-func New(domain string, maxFlows int) *Engine {
+// New returns an engine for the VM called name in a failure domain, with records of at
+// most maxFlows flows.
+func New(name, domain string, maxFlows int) *Engine {
 	return &Engine{
-		domain: domain, maxFlows: maxFlows,
+		name: name, domain: domain, maxFlows: maxFlows,
 		paths: map[sparflow.Endpoint]*path{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, services: map[string][]*upstream{}, flows: map[flowKey]*flow{},
 	}
@@ -107,12 +109,7 @@
 	e.applyRoutes(r)
 	e.applyUpstreams(r)
 	e.assign()
-	e.siblings = 0
-	for _, vm := range r.VMs {
-		if vm.Domain == e.domain {
-			e.siblings++
-		}
-	}
+	e.applyHelpers(r.VMs)
 }
 
 func (e *Engine) applyRoutes(r sparroster.Roster) {
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -32,6 +32,7 @@
 		struck   time.Duration // when it last counted against its upstream, or 0
 		end      uint32        // sequence number behind the data seen
 		ack      uint32        // highest acknowledgement seen
+		helped   int           // packets sent through other VMs as well
 		opened   bool
 		closed   bool
 	}
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -13,14 +13,13 @@
 	// openingSlack is the age from which an opening without answer speaks against its
 	// upstream: a quarter of the time after which callers repeat it.
 	openingSlack = 50 * time.Millisecond
-	// muteStrikes is the number of flows that must repeat in vain, beside an
-	// unanswered opening, before flows of an upstream are ended: one packet lost in
-	// each of the three at a time is out of the question.
-	muteStrikes = 2
 )
 
 // Forward decides on a packet from a caller.
 func (e *Engine) Forward(s Segment) Verdict {
+	if s.Relayed {
+		return e.relayed(s)
+	}
 	p := e.paths[s.To]
 	if s.Kind == Opening {
 		return e.open(p, s)
@@ -115,22 +114,17 @@
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
-	if s.Size > 0 && p.route.Repeatable && e.mute(u) {
-		e.forget(key)
-		return e.reset(UpstreamMute, u)
+	v := Verdict{}
+	if helper := e.helper(f, s, seen); helper != 0 {
+		v = e.send(Assisted, u)
+		v.Helper = helper
+	} else {
+		v = e.send(Carried, u)
 	}
-	v := e.send(Carried, u)
 	v.Answered, v.First, v.Unanswered, v.Waited = seen.answered, seen.first, seen.repeated, seen.waited
 	return v
 }
 
-// mute reports whether an upstream is taken to be lost, though it is listed: it has
-// left an opening unanswered, which no load delays, and several flows repeat in vain.
-// A caller that may repeat its request is then better off with another upstream.
-func (e *Engine) mute(u *upstream) bool {
-	return u.strikes >= muteStrikes && u.pending > 0 && e.now-u.pending >= copyAfter
-}
-
 // served reports whether a flow of the path may be at the upstream. A route may have
 // listed other services before this VM knew it, and their flows stay where they are
 // for as long as a flow lives. An upstream takes no data of a flow that it never
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -39,7 +39,8 @@
 	UnknownCookie              // the cookie names no upstream known here
 	WrongService               // the cookie names an upstream that the route never listed
 	UpstreamGone               // the upstream has left and does not answer
-	UpstreamMute               // the upstream answers nobody
+	Assisted                   // a packet of an open flow, sent through another VM as well
+	Relayed                    // a packet that another VM has sent here
 	NotFresh                   // the settings are too old to refuse by
 	causes
 )
@@ -61,6 +62,8 @@
 		Ack    uint32 // of an opening: how often it was sent before
 		Size   int    // bytes of data
 		Cookie Cookie
+
+		Relayed bool // another VM has sent it here
 	}
 
 	// Verdict is the decision on one packet. It is a plain struct, so that the
@@ -71,7 +74,8 @@
 		ID     uint64
 		At     sparflow.Endpoint
 		Cookie Cookie
-		Silent time.Duration // since the upstream last answered anyone seen here
+		Helper sparflow.Endpoint // with Assisted, the VM to send a copy through
+		Silent time.Duration     // since the upstream last answered anyone seen here
 
 		Answered   bool          // the packet acknowledges an answer
 		First      bool          // the one to the opening
@@ -115,7 +119,7 @@
 
 var causeNames = [causes]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "upstream-mute", "not-fresh",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh",
 }
 
 // String returns the cause as it stands in logs and metrics.
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -125,7 +125,7 @@
 		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
 		asks: sparring.New[ask](askRing), pulls: sparring.New[pull](pullRing),
 		reads: sparring.New[time.Duration](1), writes: sparring.New[sparregistry.Entry](1),
-		engine: sparcookie.New(file.Domain, file.Flows),
+		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), wire.Force), wire: wire,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
 		reachable: true,
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -17,12 +17,16 @@
 	if v.Answered {
 		vm.metrics.answered(v.First, v.Waited)
 	}
-	if v.Cause == sparcookie.Carried && !v.Unanswered {
+	quiet := v.Cause == sparcookie.Carried || v.Cause == sparcookie.Relayed
+	if quiet && !v.Unanswered {
 		return
 	}
 	fields := vm.flowFields(s, v)
 	switch v.Cause {
-	case sparcookie.Carried:
+	case sparcookie.Carried, sparcookie.Assisted:
+		if v.Helper != 0 {
+			fields["through"] = v.Helper.String()
+		}
 		vm.log.WithFields(fields).Info("data repeated")
 	case sparcookie.Placed:
 		vm.log.WithFields(fields).Info("opening")
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -82,6 +82,10 @@
 	v := vm.engine.Forward(s)
 	switch v.Action {
 	case sparcookie.ToUpstream:
+		if v.Helper != 0 {
+			platform.Relay(p.bytes())
+			vm.send(p.bytes(), v.Helper)
+		}
 		platform.Address(p.buffer[:], v.ID, v.Cookie)
 		vm.send(p.buffer[:platform.TagBytes+p.size], v.At)
 	case sparcookie.Reset:
