thread, peer: questions to a thread, surveys and events once for both carriers; ranking below both

sparentry had written again what sparserver had: questions to the deciding thread, the survey of VMs, the reply with events. sparrank moves to internal/flow, below members and routes. Names of the platform's keys leave the tests of sparentry.

--- a/internal/member/sparmember/member.go
+++ b/internal/member/sparmember/member.go
@@ -20,7 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -26,7 +26,7 @@
 	"strings"
 	"time"
 
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 const (
--- /dev/null
+++ b/internal/peer/sparcontrol/survey.go
@@ -0,0 +1,61 @@
+package sparcontrol
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+)
+
+// SurveyWait bounds a round of facts, so that status answers within a second.
+const SurveyWait = 600 * time.Millisecond
+
+// Dial returns a client of the VM with a control address.
+func Dial(control string, client *http.Client) Control {
+	return NewControlProtobufClient("http://"+control, client)
+}
+
+// AskAll asks VMs for their facts and adds them to those of this VM. A VM that does not
+// answer this very question in time is listed as silent.
+func AskAll(ctx context.Context, own *FactsReply, vms []sparconfig.VM, client *http.Client) *SurveyReply {
+	ctx, cancel := context.WithTimeout(ctx, SurveyWait)
+	defer cancel()
+	reply := &SurveyReply{Id: own.Id, Answered: []*FactsReply{own}}
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for _, vm := range vms {
+		wg.Go(func() {
+			facts, err := Dial(vm.Control, client).Facts(ctx, &FactsRequest{Id: own.Id})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || facts.Id != own.Id || facts.GetVm().GetName() != vm.Name {
+				reply.Silent = append(reply.Silent, vm.Name)
+				return
+			}
+			reply.Answered = append(reply.Answered, facts)
+		})
+	}
+	wg.Wait()
+	return reply
+}
+
+// FromEvents returns the events that a request asks for, and the VMs that have more.
+func FromEvents(r *EventsRequest, vm string, events []spartimeline.Event, others []sparconfig.VM) *EventsReply {
+	reply := &EventsReply{Id: r.Id, Vm: vm}
+	for _, e := range events {
+		if r.Service == "" || e.Service == "" || e.Service == r.Service {
+			reply.Events = append(reply.Events, &Event{
+				At: uint64(e.At), Kind: e.Kind, Service: e.Service, Subject: e.Subject, Count: int64(e.Count),
+			})
+		}
+	}
+	for _, other := range others {
+		reply.Vms = append(reply.Vms, FromVM(other))
+	}
+	return reply
+}
--- a/internal/proof/sparsoak/fabric.go
+++ b/internal/proof/sparsoak/fabric.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 const (
--- a/internal/route/sparcookie/relay.go
+++ b/internal/route/sparcookie/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
 
--- a/internal/route/sparcookie/versus_test.go
+++ b/internal/route/sparcookie/versus_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
@@ -60,18 +60,17 @@
 	}
 
 	simCaller struct {
-		brief      bool // one request a flow
-		s          sparcookie.Segment
-		open       bool
-		home       uint64
-		copies     uint32
-		next       time.Duration // what it does next, and when
-		asking     bool
-		began      time.Duration // of the request
-		sent       time.Duration
-		answer     time.Duration // when the answer arrives, or 0
-		handshake  time.Duration // when the answer to its opening arrives, or 0
-		answeredBy uint64
+		brief     bool // one request a flow
+		s         sparcookie.Segment
+		open      bool
+		home      uint64
+		copies    uint32
+		next      time.Duration // what it does next, and when
+		asking    bool
+		began     time.Duration // of the request
+		sent      time.Duration
+		answer    time.Duration // when the answer arrives, or 0
+		handshake time.Duration // when the answer to its opening arrives, or 0
 	}
 )
 
--- a/internal/route/sparroute/engine_test.go
+++ b/internal/route/sparroute/engine_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparmember"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparroute"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
--- a/internal/route/sparroute/owner.go
+++ b/internal/route/sparroute/owner.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparmember"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
 
--- a/internal/route/sparroute/place.go
+++ b/internal/route/sparroute/place.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 const (
--- a/internal/route/sparroute/settings.go
+++ b/internal/route/sparroute/settings.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
 
--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -23,35 +23,6 @@
 	maxDatagram = 1 << 16
 )
 
-type (
-	// ask is a question for the deciding thread.
-	ask interface {
-		answer(vm *VM)
-	}
-
-	// question is an ask with a reply of type T.
-	question[T any] struct {
-		query func(vm *VM) T
-		reply chan T
-	}
-)
-
-func (q question[T]) answer(vm *VM) { q.reply <- q.query(vm) }
-
-// consult puts a question to the deciding thread and waits for the reply.
-func consult[T any](ctx context.Context, vm *VM, query func(vm *VM) T) (reply T, err error) {
-	q := question[T]{query: query, reply: make(chan T, 1)}
-	if !vm.asks.Put(q) {
-		return reply, errors.New("too many questions at once")
-	}
-	select {
-	case reply = <-q.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return reply, errors.Trace(ctx.Err())
-	}
-}
-
 // listen is the thread that reads the control socket.
 func (vm *VM) listen() error {
 	buffer := make([]byte, maxDatagram)
@@ -128,8 +99,7 @@
 	for {
 		select {
 		case p := <-vm.pulls.Out():
-			peer := sparcontrol.NewControlProtobufClient("http://"+p.ask.From.Control, client)
-			reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: p.ask.After})
+			reply, err := sparcontrol.Dial(p.ask.From.Control, client).Pull(ctx, &sparcontrol.PullRequest{After: p.ask.After})
 			vm.post(ctx, pulled{pull: p, reply: reply, err: err})
 		case <-ctx.Done():
 			return nil
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -78,7 +78,7 @@
 
 		packets *sparring.Ring[*packet]
 		inputs  *sparring.Ring[input]
-		asks    *sparring.Ring[ask]
+		asks    *sparring.Questions[*VM]
 		pulls   *sparring.Ring[pull]
 		reads   *sparring.Ring[time.Duration]
 		writes  *sparring.Ring[sparregistry.Entry]
@@ -123,7 +123,7 @@
 	vm = &VM{
 		file: file, log: log.WithField("vm", file.Name), store: store, began: time.Now(),
 		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
-		asks: sparring.New[ask](askRing), pulls: sparring.New[pull](pullRing),
+		asks: sparring.NewQuestions[*VM](askRing), pulls: sparring.New[pull](pullRing),
 		reads: sparring.New[time.Duration](1), writes: sparring.New[sparregistry.Entry](1),
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), wire.Force), wire: wire,
@@ -212,8 +212,8 @@
 			vm.forward(p)
 		case in := <-vm.inputs.Out():
 			vm.take(in)
-		case a := <-vm.asks.Out():
-			a.answer(vm)
+		case answer := <-vm.asks.Out():
+			answer(vm)
 		case file := <-reload:
 			vm.reload(file)
 		case <-ticker.C:
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -36,6 +36,8 @@
 		fake  *sparfake.Store
 		store string
 		up    *net.UDPConn
+		key   string // of the upstream in the store
+		entry []byte
 	}
 
 	// vm is one running VM.
@@ -84,11 +86,17 @@
 	}
 	t.Cleanup(func() { _ = up.Close() })
 	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up}
-	fake.Put("op/config", []byte(`{"version":3,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8080/","type":"idempotent","service":"booking"}]}`))
-	fake.Put("servers/i-7f3a", fmt.Appendf(nil, `{"service":"booking","address":"%s","zone":"north","max_concurrency":2,"state":"ready","warmup_left_ms":0}`, up.LocalAddr()))
+	s.route(3)
+	s.key, s.entry = sparfake.Entry(0x7f3a, "booking", "north", up.LocalAddr().String(), false, time.Now())
+	fake.Put(s.key, s.entry)
 	return s
 }
 
+// route writes the operator's document with one route.
+func (s *site) route(version uint64) {
+	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: front, Service: "booking"}}))
+}
+
 // free returns an address of loopback whose port is free for UDP and TCP.
 func free(t *testing.T) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -248,8 +256,8 @@
 // TestBadInput sends what no caller or VM sends, and then an opening.
 func TestBadInput(t *testing.T) {
 	s := newSite(t)
-	s.fake.Put("servers/i-1", []byte{0xff, 0x00})
-	s.fake.Put("servers/i-2", []byte(`{"service":7}`))
+	s.fake.Put(sparfake.ServerPrefix+"i-1", []byte{0xff, 0x00})
+	s.fake.Put(sparfake.ServerPrefix+"i-2", []byte(`{"service":7}`))
 	s.fake.Put("vm/", []byte(`{}`))
 	s.fake.Put("vm/vm-2", []byte(`{"control":"nowhere"}`))
 	v := s.start("vm-1")
@@ -292,7 +300,7 @@
 		}
 		return readers == len(vms)
 	})
-	s.fake.Put("op/config", []byte(`{"version":4,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8080/","type":"idempotent","service":"booking"}]}`))
+	s.route(4)
 	began := time.Now()
 	for _, v := range vms {
 		eventually(t, "version 4 everywhere", func() bool {
@@ -326,7 +334,7 @@
 	eventually(t, "ready", v.ready)
 	s.fake.Fault(sparfake.Refuses)
 	eventually(t, "the outage is noticed", func() bool { _, ok := v.log.find("dependency lost"); return ok })
-	s.fake.Remove("servers/i-7f3a")
+	s.fake.Remove(s.key)
 	s.fake.Fault(sparfake.Sound)
 	eventually(t, "the missing upstream is kept", func() bool {
 		_, ok := v.log.find("missing upstreams kept while the platform settles")
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
-	"sync"
-	"time"
-
-	"github.com/sourcegraph/conc"
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
-// surveyWait bounds a round of facts, so that status answers within a second.
-const surveyWait = 600 * time.Millisecond
+// surveyClient asks other VMs for their facts; the request's context bounds it.
+var surveyClient = &http.Client{}
 
 // handler serves the twirp service Control.
 type handler struct {
@@ -23,7 +21,7 @@
 
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
-	return consult(ctx, h.vm, func(vm *VM) *sparcontrol.PullReply {
+	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.PullReply {
 		age := vm.sync.Age(vm.clock.now())
 		return &sparcontrol.PullReply{
 			Entries:  sparcontrol.FromEntries(vm.registry.After(r.After)),
@@ -35,7 +33,7 @@
 
 // Facts implements Control. The reply carries the id of its request.
 func (h handler) Facts(ctx context.Context, r *sparcontrol.FactsRequest) (*sparcontrol.FactsReply, error) {
-	return consult(ctx, h.vm, func(vm *VM) *sparcontrol.FactsReply {
+	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.FactsReply {
 		facts := vm.facts()
 		facts.Id = r.Id
 		return facts
@@ -48,48 +46,23 @@
 	if err != nil {
 		return nil, err
 	}
-	targets, err := consult(ctx, h.vm, func(vm *VM) []sparconfig.VM { return slices.Clone(vm.engine.Roster().VMs) })
+	others, err := sparring.Ask(ctx, h.vm.asks, (*VM).others)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, surveyWait)
-	defer cancel()
-	reply = &sparcontrol.SurveyReply{Id: r.Id, Answered: []*sparcontrol.FactsReply{own}}
-	var mu sync.Mutex
-	var wg conc.WaitGroup
-	for _, vm := range targets {
-		if vm.Name == h.vm.file.Name {
-			continue
-		}
-		wg.Go(func() {
-			facts, err := sparcontrol.NewControlProtobufClient("http://"+vm.Control, surveyClient).Facts(ctx, &sparcontrol.FactsRequest{Id: r.Id})
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil || facts.Id != r.Id || facts.GetVm().GetName() != vm.Name {
-				reply.Silent = append(reply.Silent, vm.Name)
-				return
-			}
-			reply.Answered = append(reply.Answered, facts)
-		})
-	}
-	wg.Wait()
-	return reply, nil
+	return sparcontrol.AskAll(ctx, own, others, surveyClient), nil
 }
 
 // Events implements Control.
 func (h handler) Events(ctx context.Context, r *sparcontrol.EventsRequest) (*sparcontrol.EventsReply, error) {
-	return consult(ctx, h.vm, func(vm *VM) *sparcontrol.EventsReply {
-		reply := &sparcontrol.EventsReply{Id: r.Id, Vm: vm.file.Name}
-		for _, e := range vm.timeline.Since(spartimeline.Stamp(r.Since)) {
-			if r.Service == "" || e.Service == "" || e.Service == r.Service {
-				reply.Events = append(reply.Events, &sparcontrol.Event{
-					At: uint64(e.At), Kind: e.Kind, Service: e.Service, Subject: e.Subject, Count: int64(e.Count),
-				})
-			}
-		}
-		for _, listed := range vm.engine.Roster().VMs {
-			reply.Vms = append(reply.Vms, sparcontrol.FromVM(listed))
-		}
-		return reply
+	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.EventsReply {
+		return sparcontrol.FromEvents(r, vm.file.Name, vm.timeline.Since(spartimeline.Stamp(r.Since)), vm.engine.Roster().VMs)
+	})
+}
+
+// others returns the VMs that the settings list beside this one.
+func (vm *VM) others() []sparconfig.VM {
+	return slices.DeleteFunc(slices.Clone(vm.engine.Roster().VMs), func(other sparconfig.VM) bool {
+		return other.Name == vm.file.Name
 	})
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -1,7 +1,6 @@
 package sparentry
 
 import (
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -11,9 +10,6 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 )
 
-// surveyClient asks other VMs for their facts; the request's context bounds it.
-var surveyClient = &http.Client{}
-
 // latencyBuckets span a flow inside a failure domain to a caller's whole patience.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 
--- a/internal/vm/sparnode/baseline_test.go
+++ b/internal/vm/sparnode/baseline_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 // baseline is a balancer without owners: every VM hashes, and may keep a table of the
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,46 +12,16 @@
 	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
 const (
-	// surveyWait bounds a round of facts, so that status answers within a second.
-	surveyWait = 600 * time.Millisecond
-	readWait   = 5 * time.Second
+	readWait = 5 * time.Second
 )
 
-type (
-	// ask is a question for the deciding thread.
-	ask interface {
-		answer(s *Server)
-	}
-
-	// question is an ask with a reply of type T.
-	question[T any] struct {
-		query func(s *Server) T
-		reply chan T
-	}
-
-	// handler serves the twirp service Control.
-	handler struct {
-		server *Server
-	}
-)
-
-func (q question[T]) answer(s *Server) { q.reply <- q.query(s) }
-
-// consult puts a question to the deciding thread and waits for the reply.
-func consult[T any](ctx context.Context, s *Server, query func(s *Server) T) (reply T, err error) {
-	q := question[T]{query: query, reply: make(chan T, 1)}
-	if !s.asks.Put(q) {
-		return reply, errors.New("too many questions at once")
-	}
-	select {
-	case reply = <-q.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return reply, errors.Trace(ctx.Err())
-	}
+// handler serves the twirp service Control.
+type handler struct {
+	server *Server
 }
 
 // serveHTTP is the thread that answers VMs, operators and metric collectors.
@@ -76,7 +45,7 @@
 
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
-	return consult(ctx, h.server, func(s *Server) *sparcontrol.PullReply {
+	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.PullReply {
 		registry := s.node.Registry()
 		return &sparcontrol.PullReply{
 			Entries:  sparcontrol.FromEntries(registry.After(r.After)),
@@ -87,7 +56,7 @@
 
 // Facts implements Control. The reply carries the id of its request.
 func (h handler) Facts(ctx context.Context, r *sparcontrol.FactsRequest) (*sparcontrol.FactsReply, error) {
-	return consult(ctx, h.server, func(s *Server) *sparcontrol.FactsReply {
+	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.FactsReply {
 		facts := s.node.Facts()
 		facts.Id = r.Id
 		facts.Platform = s.reached
@@ -101,45 +70,16 @@
 	if err != nil {
 		return nil, err
 	}
-	targets, err := consult(ctx, h.server, func(s *Server) []sparconfig.VM { return s.node.Expected() })
+	targets, err := sparring.Ask(ctx, h.server.asks, func(s *Server) []sparconfig.VM { return s.node.Expected() })
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, surveyWait)
-	defer cancel()
-	reply = &sparcontrol.SurveyReply{Id: r.Id, Answered: []*sparcontrol.FactsReply{own}}
-	var mu sync.Mutex
-	var wg conc.WaitGroup
-	for _, vm := range targets {
-		wg.Go(func() {
-			facts, err := h.server.client(vm.Control).Facts(ctx, &sparcontrol.FactsRequest{Id: r.Id})
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil || facts.Id != r.Id || facts.GetVm().GetName() != vm.Name {
-				reply.Silent = append(reply.Silent, vm.Name)
-				return
-			}
-			reply.Answered = append(reply.Answered, facts)
-		})
-	}
-	wg.Wait()
-	return reply, nil
+	return sparcontrol.AskAll(ctx, own, targets, h.server.metrics.countBytes(http.DefaultTransport)), nil
 }
 
 // Events implements Control.
 func (h handler) Events(ctx context.Context, r *sparcontrol.EventsRequest) (*sparcontrol.EventsReply, error) {
-	return consult(ctx, h.server, func(s *Server) *sparcontrol.EventsReply {
-		reply := &sparcontrol.EventsReply{Id: r.Id, Vm: s.file.Name}
-		for _, e := range s.node.Timeline.Since(spartimeline.Stamp(r.Since)) {
-			if r.Service == "" || e.Service == "" || e.Service == r.Service {
-				reply.Events = append(reply.Events, &sparcontrol.Event{
-					At: uint64(e.At), Kind: e.Kind, Service: e.Service, Subject: e.Subject, Count: int64(e.Count),
-				})
-			}
-		}
-		for _, vm := range s.node.Expected() {
-			reply.Vms = append(reply.Vms, sparcontrol.FromVM(vm))
-		}
-		return reply
+	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.EventsReply {
+		return sparcontrol.FromEvents(r, s.file.Name, s.node.Timeline.Since(spartimeline.Stamp(r.Since)), s.node.Expected())
 	})
 }
--- a/internal/vm/sparserver/server.go
+++ b/internal/vm/sparserver/server.go
@@ -63,7 +63,7 @@
 		inputs  *sparring.Ring[input]
 		pulls   *sparring.Ring[sparnode.Pull]
 		sweeps  *sparring.Ring[sparnode.Sweep]
-		asks    *sparring.Ring[ask]
+		asks    *sparring.Questions[*Server]
 		buffers sync.Pool
 		held    *heldPackets
 		metrics *metrics
@@ -119,7 +119,7 @@
 		node:    sparnode.New(file, uint64(began.UnixMilli()), 0, began),
 		packets: sparring.New[*packet](packetRing), sends: sparring.New[*packet](sendRing),
 		inputs: sparring.New[input](inputRing), pulls: sparring.New[sparnode.Pull](pullRing),
-		sweeps: sparring.New[sparnode.Sweep](pullRing), asks: sparring.New[ask](askRing), held: newHeldPackets(), metrics: newMetrics(),
+		sweeps: sparring.New[sparnode.Sweep](pullRing), asks: sparring.NewQuestions[*Server](askRing), held: newHeldPackets(), metrics: newMetrics(),
 		fabric: netip.MustParseAddrPort(file.Fabric), peers: map[string]netip.AddrPort{},
 		watch: make(chan bool, 1),
 	}
@@ -198,8 +198,8 @@
 			s.decideOn(p)
 		case in := <-s.inputs.Out():
 			s.take(in)
-		case a := <-s.asks.Out():
-			a.answer(s)
+		case answer := <-s.asks.Out():
+			answer(s)
 		case <-ticker.C:
 			s.tick()
 			switch {
--- a/internal/vm/sparserver/threads.go
+++ b/internal/vm/sparserver/threads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -108,10 +107,5 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return s.client(pull.From.Control).Pull(ctx, &sparcontrol.PullRequest{After: pull.After})
-}
-
-// client returns a twirp client for the VM with a control address.
-func (s *Server) client(control string) sparcontrol.Control {
-	return sparcontrol.NewControlProtobufClient(fmt.Sprintf("http://%s", control), s.metrics.countBytes(http.DefaultTransport))
+	return sparcontrol.Dial(pull.From.Control, s.metrics.countBytes(http.DefaultTransport)).Pull(ctx, &sparcontrol.PullRequest{After: pull.After})
 }
