platform, sparcookie: one bad route takes no other with it; a flow ends only after other VMs were tried

Causes, found by reading: a route that cannot be decoded refused the operator's whole document, and so did a kind of request that is not known here, though nothing uses the kind; the entry of an upstream may lapse while it lives, and one VM's silence does not tell. Changes: such a route is left out and told; kinds, aims and priorities are not decoded, as no decision uses them; a flow of an upstream that left without draining ends after two other VMs were tried.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -80,7 +80,7 @@
 		pending time.Duration // first opening sent since then, 0 where all were answered
 		strikes int           // flows that have repeated a packet in vain since then
 		health  sparhealth.Health
-		trialAt time.Duration // last opening sent to try it
+		placed  time.Duration // last opening sent to it
 	}
 )
 
@@ -140,7 +140,7 @@
 			u = e.join(u, one)
 		}
 		if u.Draining != one.Draining || u.gone {
-			e.emit(UpstreamListed{Upstream: one, Draining: one.Draining})
+			e.emit(UpstreamListed{Upstream: one})
 		}
 		u.Upstream, u.gone = one, false
 		u.warmed = max(u.warmed, e.now+one.Warm)
@@ -170,7 +170,7 @@
 		}
 	}
 	e.upstreams[one.ID] = u
-	e.emit(UpstreamListed{Upstream: one, Draining: one.Draining})
+	e.emit(UpstreamListed{Upstream: one})
 	return u
 }
 
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -13,6 +13,9 @@
 	// openingSlack is the age from which an opening without answer speaks against its
 	// upstream: a quarter of the time after which callers repeat it.
 	openingSlack = 50 * time.Millisecond
+	// triesBeforeEnd is the number of other VMs that have sent a request in vain before
+	// the flow of a lost upstream is ended.
+	triesBeforeEnd = 2
 )
 
 // Forward decides on a packet from a caller.
@@ -110,7 +113,7 @@
 	if s.Kind == Finishing || s.Kind == Resetting {
 		e.close(f)
 	}
-	if seen.repeated && u.gone && e.now-max(f.moved, u.heard) >= copyAfter {
+	if seen.repeated && e.certainlyGone(u, f) {
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
@@ -125,6 +128,14 @@
 	return v
 }
 
+// certainlyGone reports whether a flow that repeats in vain may be ended: its upstream has
+// left the list and answers nobody here. One that drained before has ended as planned. The
+// entry of another may have lapsed while it lives, so other VMs are tried first.
+func (e *Engine) certainlyGone(u *upstream, f *flow) bool {
+	silent := e.now-max(f.moved, u.heard) >= copyAfter
+	return u.gone && silent && (u.Draining || f.helped >= triesBeforeEnd)
+}
+
 // served reports whether a flow of the path may be at the upstream. A route may have
 // listed other services before this VM knew it, and their flows stay where they are
 // for as long as a flow lives. An upstream takes no data of a flow that it never
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if best != nil {
-		best.trialAt = e.now
+		best.placed = e.now
 	}
 	return best
 }
@@ -94,7 +94,7 @@
 // expect takes an upstream out whose answer to an opening is overdue. Any answer to
 // another flow brings it back.
 func (e *Engine) expect(u *upstream) {
-	if u.pending > 0 && e.now-u.pending >= openingSlack && u.health.Opens() && e.now-u.trialAt >= openingSlack {
+	if u.pending > 0 && e.now-u.pending >= openingSlack && u.health.Opens() && e.now-u.placed >= openingSlack {
 		e.judge(u, u.health.Ejected(e.now))
 	}
 }
@@ -104,7 +104,7 @@
 	switch {
 	case u.Draining || u.gone:
 		return tierNone
-	case !u.health.Opens(), u.health.OnTrial() && e.now-u.trialAt < trialEvery:
+	case !u.health.Opens(), u.health.OnTrial() && e.now-u.placed < trialEvery:
 		return tierSilent
 	case u.Domain == e.domain:
 		return tierLocal
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -92,7 +92,6 @@
 	// UpstreamListed says that an upstream joined or changed in the roster.
 	UpstreamListed struct {
 		Upstream sparroster.Upstream
-		Draining bool
 	}
 
 	// UpstreamLeft says that an upstream is not in the roster any more.
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -50,17 +50,14 @@
 		Version uint64
 		Routes  []Route
 		Idle    time.Duration // silence after which a flow may be forgotten
+		Refused []string      // routes that cannot be used, and why
 	}
 
 	// Route says which services take the flows to one address.
 	Route struct {
-		Name       string
-		Address    sparflow.Endpoint // what callers connect to
-		Targets    []Target
-		Repeatable bool          // its requests are idempotent
-		Aim        time.Duration // latency objective of a request
-		Timeout    time.Duration // end of the caller's patience
-		Priority   int           // 0 is the most urgent
+		Name    string
+		Address sparflow.Endpoint // what callers connect to
+		Targets []Target
 	}
 
 	// Target is a service with its share of new flows.
@@ -156,6 +153,9 @@
 	switch fact := entry.fact.(type) {
 	case Routing:
 		r.Routing = fact
+		for _, cause := range fact.Refused {
+			r.Problems = append(r.Problems, Problem{Key: key, Revision: entry.revision, Cause: cause})
+		}
 	case Upstream:
 		r.Upstreams = append(r.Upstreams, fact)
 	case VM:
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -73,3 +73,13 @@
 		t.Errorf("%d of %d upstreams changed", found, len(roster.Upstreams))
 	}
 }
+
+func TestRefusedRoutesAreProblems(t *testing.T) {
+	r := sparregistry.Registry{}.With(sparregistry.Entry{Key: sparroster.RoutingKey, Revision: 5})
+	roster := sparroster.New(r, func(string, []byte) (sparroster.Fact, error) {
+		return sparroster.Routing{Refused: []string{"route a: no port"}}, nil
+	})
+	if want := (sparroster.Problem{Key: sparroster.RoutingKey, Revision: 5, Cause: "route a: no port"}); len(roster.Problems) != 1 || roster.Problems[0] != want {
+		t.Errorf("problems %v", roster.Problems)
+	}
+}
