--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -69,7 +69,7 @@
 	return found
 }
 
-// Revision returns the highest platform revision merged so far.
+// Revision returns the platform revision at which r is complete.
 func (r Registry) Revision() uint64 { return r.revision }
 
 // Digest returns a hash of the live entries. Equal registries have equal digests.
@@ -78,8 +78,17 @@
 // Synced reports whether r holds a whole reading, of the platform or of a peer.
 func (r Registry) Synced() bool { return r.synced }
 
-// With returns r merged with entries.
+// With returns r merged with entries, as far as the last of them.
 func (r Registry) With(entries ...Entry) Registry {
+	next := r.merge(entries)
+	for _, e := range entries {
+		next.revision = max(next.revision, e.Revision)
+	}
+	return next
+}
+
+// merge keeps the newer entry of each key. It leaves the revision alone.
+func (r Registry) merge(entries []Entry) Registry {
 	next := r
 	copied := false
 	for _, e := range entries {
@@ -93,16 +102,16 @@
 		}
 		next.digest ^= digest(held) ^ digest(e)
 		next.entries[e.Key] = e
-		next.revision = max(next.revision, e.Revision)
 	}
 	return next
 }
 
 // Reading returns r merged with a whole reading of the platform made at revision.
 // Keys that the reading lacks are deleted, unless r knows them from a later
-// revision: an old reading loses.
+// revision: an old reading loses. A reading of several pages may hold entries of later
+// revisions and lack others, so it counts as complete at revision alone.
 func (r Registry) Reading(entries []Entry, revision uint64) Registry {
-	next := r.With(entries...)
+	next := r.merge(entries)
 	present := map[string]bool{}
 	for _, e := range entries {
 		present[e.Key] = true
@@ -113,17 +122,18 @@
 			gone = append(gone, Entry{Key: key, Revision: revision, Deleted: true})
 		}
 	}
-	next = next.With(gone...)
-	next.revision = max(next.revision, revision)
+	next = next.merge(gone)
+	next.revision = max(r.revision, revision)
 	next.synced = true
 	return next
 }
 
-// WithPeer returns r merged with all entries of a synced peer.
+// WithPeer returns r merged with all entries of a synced peer that is complete at
+// revision.
 func (r Registry) WithPeer(entries []Entry, revision uint64, synced bool) Registry {
-	next := r.With(entries...)
-	next.revision = max(next.revision, revision)
-	next.synced = next.synced || synced
+	next := r.merge(entries)
+	next.revision = max(r.revision, revision)
+	next.synced = r.synced || synced
 	return next
 }
 
--- a/internal/settings/sparregistry/registry_test.go
+++ b/internal/settings/sparregistry/registry_test.go
@@ -52,3 +52,23 @@
 		t.Error("a reading at revision 5 deleted a key of revision 9")
 	}
 }
+
+// TestPagesAreNoSnapshot reads two pages while entries change between them, and checks
+// that a peer which pulls what changed misses nothing.
+func TestPagesAreNoSnapshot(t *testing.T) {
+	entry := func(key string, revision uint64) sparregistry.Entry {
+		return sparregistry.Entry{Key: key, Revision: revision}
+	}
+	// The first page shows a at 5. Then a changes at 11 and z at 12; the second page
+	// shows z alone.
+	reader := sparregistry.Registry{}.Reading([]sparregistry.Entry{entry("a", 5), entry("z", 12)}, 10)
+	if reader.Revision() != 10 {
+		t.Errorf("complete at %d, want 10", reader.Revision())
+	}
+	follower := sparregistry.Registry{}.Reading(reader.After(0), reader.Revision())
+	reader = reader.Reading([]sparregistry.Entry{entry("a", 11), entry("z", 12)}, 12)
+	follower = follower.WithPeer(reader.After(follower.Revision()), reader.Revision(), true)
+	if follower.Digest() != reader.Digest() || follower.Revision() != 12 {
+		t.Errorf("the follower misses a change, complete at %d", follower.Revision())
+	}
+}
