sparsync: one pull at a time, none while a VM's first reading is under way

Cause: a VM that starts got notices of peers that started before it and pulled everything from each, though its own reading brought the same in milliseconds; and each notice began a pull of its own while another was under way. Change: the last notice that came meanwhile is taken up afterwards. TestAllStartAtOnce counts pulls of everything: 114 before, 0 now.

--- a/internal/member/sparsync/lab_test.go
+++ b/internal/member/sparsync/lab_test.go
@@ -34,6 +34,7 @@
 		vms      []*member
 		events   []event
 		calls    int
+		wholes   int            // pulls of everything
 		sent     map[string]int // datagrams by VM
 		lost     float64
 		slowest  time.Duration // from a change to its being held everywhere it must be
@@ -196,9 +197,9 @@
 	began := l.now
 	switch {
 	case m.silent:
-		l.later(m, callEnd, func() { m.sync.ReadFailed(l.now) })
+		l.later(m, callEnd, func() { m.perform(m.sync.ReadFailed(l.now)) })
 	case m.refused:
-		l.later(m, callTime, func() { m.sync.ReadFailed(l.now) })
+		l.later(m, callTime, func() { m.perform(m.sync.ReadFailed(l.now)) })
 	default:
 		l.later(m, callTime, func() {
 			m.hold(l.revision)
@@ -210,7 +211,11 @@
 func (m *member) pull(ask sparsync.Ask) {
 	l := m.lab
 	from := l.find(ask.From)
+	if ask.After == 0 {
+		l.wholes++
+	}
 	if !l.reachable(m, from) {
+		l.later(m, callEnd, func() { m.perform(m.sync.PullFailed(l.now)) })
 		return
 	}
 	began := l.now
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -9,7 +9,7 @@
 func (s *Sync) Tick(now time.Duration) []Output {
 	var outs []Output
 	if s.readDue(now) {
-		s.busy = true
+		s.busy, s.readBegan = true, now
 		outs = append(outs, Read{})
 	}
 	return append(outs, s.asks(now)...)
@@ -36,7 +36,7 @@
 func (s *Sync) ReadDone(began time.Duration, held Held, now time.Duration) []Output {
 	s.busy = false
 	s.held = held
-	s.wanted = wanted{}
+	s.wanted, s.missed = wanted{}, Notice{}
 	if s.failing {
 		s.failing, s.returned = false, now
 	}
@@ -51,10 +51,11 @@
 }
 
 // ReadFailed takes the failure of a reading.
-func (s *Sync) ReadFailed(now time.Duration) {
+func (s *Sync) ReadFailed(now time.Duration) []Output {
 	s.busy, s.failing = false, true
 	s.readAt = now + s.retry
 	s.retry = min(2*s.retry, retryLast)
+	return s.catchUp(now)
 }
 
 // yield leaves reading to the reader of a notice, if that one comes first in the
@@ -88,6 +89,9 @@
 // asks asks some peers in turn while the settings here are old: one that was heard
 // lately, one of the same failure domain, which a cut leaves in reach, and any one.
 func (s *Sync) asks(now time.Duration) []Output {
+	if s.missed.Reader != "" && !s.Synced() && s.busy && now-s.readBegan >= startPatience {
+		return s.catchUp(now)
+	}
 	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
 		return nil
 	}
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -48,8 +48,11 @@
 	retryFirst = 150 * time.Millisecond
 	retryLast  = 2 * time.Second
 	askEvery   = 200 * time.Millisecond
-	// pullEvery is how long a pull of the same settings is waited for.
+	// pullEvery is how long a pull is waited for before the next is begun.
 	pullEvery = 250 * time.Millisecond
+	// startPatience is how long a VM that starts waits for its first reading before it
+	// asks peers for everything: many times the usual answer of the platform.
+	startPatience = 300 * time.Millisecond
 	// aliveFor is how long a peer counts as reachable after it was last heard.
 	aliveFor = 6 * time.Second
 	// maxOrders is the number of orders of names kept: one for takeovers, and one for
@@ -134,18 +137,21 @@
 		seeds   []*peer
 		orders  map[int][]string // of names, by slot
 
-		source   mark   // whose reading the settings follow
-		rounds   uint64 // readings of this VM
-		busy     bool   // a reading is under way
-		readAt   time.Duration
-		retry    time.Duration
-		failing  bool
-		returned time.Duration // when the platform answered again after a failure
-		wanted   wanted
-		pulledAt time.Duration
-		askedAt  time.Duration
-		asked    int // number of peers asked, to ask them in turn
-		relayed  mark
+		source    mark   // whose reading the settings follow
+		rounds    uint64 // readings of this VM
+		busy      bool   // a reading is under way
+		readBegan time.Duration
+		readAt    time.Duration
+		retry     time.Duration
+		failing   bool
+		returned  time.Duration // when the platform answered again after a failure
+		wanted    wanted
+		missed    Notice // came while a pull was under way; its age counts from time 0
+		pulling   bool
+		pulledAt  time.Duration
+		askedAt   time.Duration
+		asked     int // number of peers asked, to ask them in turn
+		relayed   mark
 	}
 
 	// wanted is settings that a peer has and this VM lacks.
@@ -279,20 +285,31 @@
 // came, so that the registry holds at least what the peer holds.
 func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, digest uint64, whole bool, now time.Duration) []Output {
 	s.alive(from, now)
+	s.pulling = false
 	if s.held.Digest == digest || whole {
 		s.wanted = wanted{}
 		s.confirm(certain, mark{reader: reader})
 	}
-	return s.tell(now)
+	return append(s.catchUp(now), s.tell(now)...)
+}
+
+// PullFailed takes the failure of an Ask.
+func (s *Sync) PullFailed(now time.Duration) []Output {
+	s.pulling = false
+	return s.catchUp(now)
 }
 
 // want asks a peer for settings that this VM lacks. Where changes alone did not
-// help it asks for everything.
+// help it asks for everything. One pull is under way at a time, and none while the first
+// reading of the platform is likely to bring everything.
 func (s *Sync) want(n Notice, now time.Duration) []Output {
-	again := n.Digest == s.wanted.held.Digest
-	if again && now-s.pulledAt < pullEvery {
+	starting := !s.Synced() && (s.readBegan == 0 || s.busy && now-s.readBegan < startPatience)
+	if starting || s.pulling && now-s.pulledAt < pullEvery {
+		n.Age -= now // the time at which it was complete, until it is taken up again
+		s.missed = n
 		return nil
 	}
+	again := n.Digest == s.wanted.held.Digest
 	after := s.held.Revision
 	if again || n.Revision == s.held.Revision || !s.Synced() {
 		after = 0
@@ -300,10 +317,21 @@
 	s.wanted = wanted{
 		mark: mark{n.Reader, n.Round}, held: Held{n.Revision, n.Digest}, certain: now - n.Age,
 	}
-	s.pulledAt = now
+	s.pulling, s.pulledAt = true, now
 	return []Output{Ask{From: n.From, After: after}}
 }
 
+// catchUp takes up the last notice that came while a pull was under way.
+func (s *Sync) catchUp(now time.Duration) []Output {
+	n := s.missed
+	s.missed = Notice{}
+	if n.Reader == "" || n.Digest == s.held.Digest || s.Synced() && n.Revision < s.held.Revision {
+		return nil
+	}
+	n.Age += now
+	return s.want(n, now)
+}
+
 // confirm notes that the settings here were complete at a time.
 func (s *Sync) confirm(at time.Duration, by mark) {
 	if at <= s.certain && s.Synced() {
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -210,6 +210,9 @@
 	if l.calls > 90 {
 		t.Errorf("%d calls for 90 starts", l.calls)
 	}
+	if l.wholes > 0 {
+		t.Errorf("%d pulls of everything from peers while the platform answers", l.wholes)
+	}
 }
 
 func TestSettling(t *testing.T) {
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -98,8 +98,8 @@
 
 func (vm *VM) takeReading(in read, now time.Duration) {
 	if in.err != nil {
-		vm.sync.ReadFailed(now)
 		vm.logStore(in.err)
+		vm.perform(vm.sync.ReadFailed(now), now)
 		return
 	}
 	vm.logStore(nil)
@@ -134,10 +134,12 @@
 func (vm *VM) takePull(in pulled, now time.Duration) {
 	if in.err != nil {
 		vm.logPullFailed(in.pull, in.err)
+		vm.perform(vm.sync.PullFailed(now), now)
 		return
 	}
 	r := in.reply
 	if !r.Synced {
+		vm.perform(vm.sync.PullFailed(now), now)
 		return
 	}
 	entries := sparcontrol.ToEntries(r.Entries)
@@ -205,7 +207,7 @@
 		case sparsync.Read:
 			vm.reads.Put(now)
 		case sparsync.Ask:
-			vm.pulls.Put(pull{ask: out, began: now}) // a full ring has others under way
+			vm.pulls.Put(pull{ask: out, began: now}) // one at a time, see sparsync
 		case sparsync.Enquire:
 			vm.tell(out.To, sparcontrol.EncodeQuery(out.Query))
 		case sparsync.Notify:
