--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -2,190 +2,20 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
-	"github.com/oleanderspar/oleanderspar/internal/log/sparlog"
-	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
-	"github.com/oleanderspar/oleanderspar/internal/vm/sparentry"
 	"github.com/oleanderspar/oleanderspar/platform"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
-const patience = 5 * time.Second
-
-var front = sparflow.MakeEndpoint(0xc6120001, 8080) // 198.18.0.1:8080
-
-type (
-	// site is a platform with VMs on loopback, and one upstream.
-	site struct {
-		t     *testing.T
-		fake  *sparfake.Store
-		store string
-		up    *net.UDPConn
-		key   string // of the upstream in the store
-		entry []byte
-	}
-
-	// vm is one running VM.
-	vm struct {
-		site   *site
-		file   sparconfig.File
-		store  *platform.Store
-		log    *lines
-		reload chan sparconfig.File
-		stop   func()
-		done   chan error
-	}
-
-	// lines is a log that tests search.
-	lines struct {
-		mu   sync.Mutex
-		text bytes.Buffer
-	}
-)
-
-func (l *lines) Write(b []byte) (n int, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-// find returns the first line with a message, and whether there is one.
-func (l *lines) find(message string) (fields map[string]any, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, line := range strings.Split(l.text.String(), "\n") {
-		if strings.Contains(line, `"msg":"`+message+`"`) {
-			return fields, json.Unmarshal([]byte(line), &fields) == nil
-		}
-	}
-	return nil, false
-}
-
-func newSite(t *testing.T) *site {
-	fake := sparfake.NewStore()
-	server := httptest.NewServer(fake)
-	t.Cleanup(server.CloseClientConnections)
-	up, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = up.Close() })
-	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up}
-	s.route(3)
-	s.key, s.entry = sparfake.Entry(0x7f3a, "booking", "north", up.LocalAddr().String(), false, time.Now())
-	fake.Put(s.key, s.entry)
-	return s
-}
-
-// route writes the operator's document with one route.
-func (s *site) route(version uint64) {
-	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: front, Service: "booking"}}))
-}
-
-// free returns an address of loopback whose port is free for UDP and TCP.
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// start runs a VM until the test ends.
-func (s *site) start(name string, seeds ...string) *vm {
-	file := sparconfig.File{
-		Carrier: sparconfig.Cookie, Name: name, Domain: "north", Data: free(s.t), Control: free(s.t), Ready: free(s.t),
-		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: 1,
-	}
-	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &lines{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
-	running, err := sparentry.New(file, v.store, sparlog.New(v.log, "json", logrus.InfoLevel, sparlog.FlowBurst))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	v.stop = cancel
-	go func() { v.done <- running.Run(ctx, v.reload) }()
-	s.t.Cleanup(func() {
-		cancel()
-		select {
-		case <-v.done:
-		case <-time.After(patience):
-			s.t.Error("the VM did not stop")
-		}
-	})
-	return v
-}
-
-func (v *vm) ready() bool {
-	r, err := http.Get("http://" + v.file.Ready + platform.ReadyPath)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = r.Body.Close() }()
-	return r.StatusCode == http.StatusOK
-}
-
-// eventually waits until a condition holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if holds() {
-			return
-		}
-	}
-	t.Fatalf("never: %s", what)
-}
-
-// opening is a SYN from the loopback caller to an address.
-func opening(to sparflow.Endpoint) []byte {
-	b := make([]byte, platform.HeadBytes)
-	binary.BigEndian.PutUint32(b[4:], to.IP())
-	binary.BigEndian.PutUint16(b[8:], 40001)
-	binary.BigEndian.PutUint16(b[10:], to.Port())
-	binary.BigEndian.PutUint32(b[12:], 0x7f000001)
-	b[30] = 4
-	return b
-}
-
-func (v *vm) send(b []byte) {
-	conn, err := net.Dial("udp4", v.file.Data)
-	if err != nil {
-		v.site.t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	if _, err := conn.Write(b); err != nil {
-		v.site.t.Fatal(err)
-	}
-}
-
-// receive returns the next datagram at the upstream.
-func (s *site) receive() []byte {
-	s.t.Helper()
-	b := make([]byte, 2000)
-	_ = s.up.SetReadDeadline(time.Now().Add(patience))
-	n, err := s.up.Read(b)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return b[:n]
-}
-
 func TestReadyInFewCalls(t *testing.T) {
 	s := newSite(t)
 	v := s.start("vm-1")
