--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -183,4 +183,3 @@
 	}
 	return b[:n]
 }
-
