sparentry: the start line comes before the thread that owns the time line

Cause, found by the race detector: the line at the start wrote the time line while the deciding thread did.

--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -165,6 +165,7 @@
 // Run serves until ctx ends, then goes on until the fabric has left and returns. A
 // value on reload brings new settings.
 func (vm *VM) Run(ctx context.Context, reload <-chan sparconfig.File) (err error) {
+	vm.logStart() // before the thread that owns the time line
 	threads, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group := pool.New().WithContext(threads).WithCancelOnError().WithFirstError()
@@ -184,7 +185,6 @@
 		vm.close()
 		return nil
 	})
-	vm.logStart()
 	err = group.Wait()
 	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
 		err = nil
