sparlaunch: SIGHUP is handled from the first moment to the last

Reading the code for it showed a fault of ours: after SIGTERM the handler was taken away, so that SIGHUP ended a VM that still passed packets. TestHangUpWhileLeaving died of it before.

--- a/internal/proof/sparsoak/faults.go
+++ b/internal/proof/sparsoak/faults.go
@@ -113,8 +113,13 @@
 	v.signal(syscall.SIGCONT)
 }
 
+// hangUp spares a process in its first moments: no program handles a signal before it
+// runs.
 func (w *world) hangUp(context.Context) {
 	v := w.anyVM()
+	if !v.started() {
+		return
+	}
 	w.note("SIGHUP %s", v.name)
 	v.signal(syscall.SIGHUP)
 }
--- a/internal/proof/sparsoak/soak_test.go
+++ b/internal/proof/sparsoak/soak_test.go
@@ -15,6 +15,7 @@
 	cause string
 }{
 	{1, "the stand-in server ran older data of a flow again"},
+	{2028, "SIGHUP came to a process in its first milliseconds, before any program can handle it"},
 	{2, "two faults restarted one VM at a time, and one of the two found its ports taken"},
 }
 
--- a/internal/vm/sparlaunch/launch.go
+++ b/internal/vm/sparlaunch/launch.go
@@ -35,6 +35,8 @@
 
 // Run serves until a signal ends it. Lines of the log go to out.
 func Run(ctx context.Context, path string, file sparconfig.File, level logrus.Level, out io.Writer) (err error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first and for good: unhandled, it would end the process
 	debug.SetGCPercent(heapGrowth)
 	pipe := sparlog.NewPipe(out)
 	defer pipe.Close()
@@ -45,7 +47,7 @@
 	}
 	ctx, _, cancel := UntilSignal(ctx)
 	defer cancel()
-	return vm.Run(ctx, reloads(ctx, path, log))
+	return vm.Run(ctx, reloads(ctx, path, hangups, log))
 }
 
 // UntilSignal returns a context that ends at the first SIGTERM or SIGINT, and a channel
@@ -63,14 +65,11 @@
 	return ctx, again, cancel
 }
 
-// reloads returns the settings file anew after each SIGHUP and each change. One that
+// reloads returns the settings file anew after each hang-up and each change. One that
 // cannot be used is logged and left aside.
-func reloads(ctx context.Context, path string, log *logrus.Logger) <-chan sparconfig.File {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func reloads(ctx context.Context, path string, hangups <-chan os.Signal, log *logrus.Logger) <-chan sparconfig.File {
 	files := make(chan sparconfig.File)
 	go func() {
-		defer signal.Stop(hangups)
 		look := time.NewTicker(lookEvery)
 		defer look.Stop()
 		seen := changed(path, time.Time{}, log)
--- /dev/null
+++ b/internal/vm/sparlaunch/launch_test.go
@@ -0,0 +1,90 @@
+package sparlaunch_test
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/vm/sparlaunch"
+	"github.com/oleanderspar/oleanderspar/platform/sparfake"
+)
+
+const patience = 10 * time.Second
+
+// lines is a log that tells of each line.
+type lines chan string
+
+func (l lines) Write(b []byte) (n int, err error) {
+	l <- string(b)
+	return len(b), nil
+}
+
+// await waits for a line with a message.
+func (l lines) await(t *testing.T, message string) {
+	t.Helper()
+	end := time.After(patience)
+	for {
+		select {
+		case line := <-l:
+			if strings.Contains(line, `"msg":"`+message+`"`) {
+				return
+			}
+		case <-end:
+			t.Fatalf("no line %q", message)
+		}
+	}
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// TestHangUpWhileLeaving sends SIGHUP while the VM serves, and again after SIGTERM, when it
+// once ended the process before the fabric had left.
+func TestHangUpWhileLeaving(t *testing.T) {
+	store := httptest.NewServer(sparfake.NewStore())
+	t.Cleanup(store.CloseClientConnections)
+	path := filepath.Join(t.TempDir(), "vm.json")
+	text := fmt.Sprintf(`{"carrier": "cookie", "name": "vm-1", "domain": "north", "log": "json", "grace": 2,
+		"data": %q, "control": %q, "ready": %q, "platform": %q}`,
+		free(t), free(t), free(t), strings.TrimPrefix(store.URL, "http://"))
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	file, err := sparconfig.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, done := make(lines, 1000), make(chan error, 1)
+	go func() { done <- sparlaunch.Run(t.Context(), path, file, logrus.InfoLevel, log) }()
+	log.await(t, "ready")
+	signal := func(s syscall.Signal) {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGHUP)
+	log.await(t, "reload")
+	signal(syscall.SIGTERM)
+	log.await(t, "leaving")
+	time.Sleep(100 * time.Millisecond)
+	signal(syscall.SIGHUP)
+	log.await(t, "stop")
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
