--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -157,7 +157,7 @@
 	// wanted is settings that a peer has and this VM lacks.
 	wanted struct {
 		mark
-		held    Held
+		digest  uint64
 		certain time.Duration
 	}
 
@@ -246,7 +246,7 @@
 // Holds takes what the registry holds now.
 func (s *Sync) Holds(held Held) {
 	s.held = held
-	if s.wanted.reader != "" && held.Digest == s.wanted.held.Digest {
+	if s.wanted.reader != "" && held.Digest == s.wanted.digest {
 		s.confirm(s.wanted.certain, s.wanted.mark)
 		s.wanted = wanted{}
 	}
@@ -315,13 +315,13 @@
 		s.missed = n
 		return nil
 	}
-	again := n.Digest == s.wanted.held.Digest
+	again := n.Digest == s.wanted.digest
 	after := s.held.Revision
 	if again || n.Revision == s.held.Revision || !s.Synced() {
 		after = 0
 	}
 	s.wanted = wanted{
-		mark: mark{n.Reader, n.Round}, held: Held{n.Revision, n.Digest}, certain: now - n.Age,
+		mark: mark{n.Reader, n.Round}, digest: n.Digest, certain: now - n.Age,
 	}
 	s.pulling, s.pulledAt = true, now
 	return []Output{Ask{From: n.From, After: after}}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -31,16 +31,27 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
+	"github.com/oleanderspar/oleanderspar/internal/thread/sparsocket"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
 const (
+	// packetRing is the number of packets between intake and decision: 20 ms of 200,000
+	// a second, about what a VM passes on. Older ones are as good as lost, since
+	// their senders repeat them.
 	packetRing = 4096
-	inputRing  = 1024
-	askRing    = 64
-	pullRing   = 16
+	// inputRing is the number of datagrams and outcomes that wait for the deciding
+	// thread: one of each VM of a large fabric that starts at once.
+	inputRing = 1024
+	// askRing is the number of questions of VMs and operators that wait.
+	askRing = 64
+	// pullRing is the number of pulls that wait: one is under way at a time, and one
+	// that is given up may be followed before its end is known.
+	pullRing = 16
 
-	socketBuffer = 4 << 20
+	// socketQueue is the kernel's queue of a socket in bytes: the packets of a ring at
+	// their usual size.
+	socketQueue = 4 << 20
 
 	// tickEvery is how often time is acted on: a fraction of the 200 ms after which
 	// a caller repeats a packet.
@@ -140,10 +151,10 @@
 }
 
 func (vm *VM) open() (err error) {
-	if vm.data, err = listenUDP(vm.file.Data); err != nil {
+	if vm.data, err = sparsocket.Listen(vm.file.Data, socketQueue); err != nil {
 		return err
 	}
-	if vm.control, err = listenUDP(vm.file.Control); err != nil {
+	if vm.control, err = sparsocket.Listen(vm.file.Control, socketQueue); err != nil {
 		return err
 	}
 	if vm.web, err = net.Listen("tcp4", vm.file.Control); err != nil {
@@ -153,15 +164,6 @@
 	return err
 }
 
-func listenUDP(address string) (conn *net.UDPConn, err error) {
-	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetReadBuffer(socketBuffer) // the kernel may allow less
-	return conn, nil
-}
-
 // Run serves until ctx ends, then goes on until the fabric has left and returns. A
 // value on reload brings new settings.
 func (vm *VM) Run(ctx context.Context, reload <-chan sparconfig.File) (err error) {
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -35,7 +35,6 @@
 		store string
 		up    *net.UDPConn
 		key   string // of the upstream in the store
-		entry []byte
 	}
 
 	// vm is one running VM.
@@ -85,8 +84,9 @@
 	t.Cleanup(func() { _ = up.Close() })
 	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up}
 	s.route(3)
-	s.key, s.entry = sparfake.Entry(0x7f3a, "booking", "north", up.LocalAddr().String(), false, time.Now())
-	fake.Put(s.key, s.entry)
+	key, entry := sparfake.Entry(0x7f3a, "booking", "north", up.LocalAddr().String(), false, time.Now())
+	s.key = key
+	fake.Put(key, entry)
 	return s
 }
 
--- a/internal/vm/sparserver/server.go
+++ b/internal/vm/sparserver/server.go
@@ -30,6 +30,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
+	"github.com/oleanderspar/oleanderspar/internal/thread/sparsocket"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparnode"
 	"github.com/oleanderspar/oleanderspar/internal/wire/sparpacket"
 )
@@ -41,7 +42,9 @@
 	pullRing   = 64
 	askRing    = 64
 
-	socketBuffer = 8 << 20
+	// socketQueue is the kernel's queue of a socket in bytes: the packets of a ring and
+	// as many again.
+	socketQueue  = 8 << 20
 	stopWait     = 30 * time.Second
 	forwardAfter = 2 * time.Second // keeps forwarding what the fabric still sends
 )
@@ -124,10 +127,10 @@
 		watch: make(chan bool, 1),
 	}
 	s.buffers.New = func() any { return new(packet) }
-	if s.data, err = listenUDP(file.Data); err != nil {
+	if s.data, err = sparsocket.Listen(file.Data, socketQueue); err != nil {
 		return nil, err
 	}
-	if s.control, err = listenUDP(file.Control); err != nil {
+	if s.control, err = sparsocket.Listen(file.Control, socketQueue); err != nil {
 		return nil, err
 	}
 	if s.web, err = net.Listen("tcp4", file.Control); err != nil {
@@ -136,16 +139,6 @@
 	return s, nil
 }
 
-func listenUDP(address string) (conn *net.UDPConn, err error) {
-	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetReadBuffer(socketBuffer) // the kernel may allow less
-	_ = conn.SetWriteBuffer(socketBuffer)
-	return conn, nil
-}
-
 // Run serves until ctx ends, then hands over and returns. A value on abort ends
 // it at once.
 func (s *Server) Run(ctx context.Context, abort <-chan os.Signal) (err error) {
