sparleave: a VM ends as soon as the fabric has left it

With c-3 out of rotation and c-1 not back (12.96) fewer than half of the domain were in rotation, so the routers used all of it, c-1 too. Ruled out: the start, 41 ms to ready. Change: the second refused probe and 150 ms without a packet end the process, with the old time as the bound. Sooner back means that planned restarts overlap less.

--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -71,6 +71,7 @@
 	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !vm.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
+			vm.inputs.Put(probed{}) // one that is lost makes this VM leave later
 		}
 	})
 	return serve(ctx, vm.probe, mux)
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
@@ -56,10 +57,6 @@
 	// tickEvery is how often time is acted on: a fraction of the 200 ms after which
 	// a caller repeats a packet.
 	tickEvery = 50 * time.Millisecond
-
-	// leaveAfter is how long packets still come after the fabric is told to leave:
-	// two probes of 500 ms that fail, and what is under way.
-	leaveAfter = 1800 * time.Millisecond
 )
 
 type (
@@ -109,7 +106,7 @@
 		synced    bool
 		reachable bool // the platform answered this VM last
 		age       time.Duration
-		stopping  time.Time
+		leave     sparleave.Leave
 	}
 
 	// listing is the entry that this VM keeps in the platform.
@@ -220,12 +217,12 @@
 			vm.reload(file)
 		case <-ticker.C:
 			vm.tick()
-			if !vm.stopping.IsZero() && time.Since(vm.stopping) > vm.leaveAfter() {
+			if vm.leave.Done(vm.clock.now()) {
 				return nil
 			}
 		case <-stopping:
 			stopping = nil
-			vm.stopping = time.Now()
+			vm.leave.Begin(vm.clock.now(), vm.wire.Grace)
 			vm.ready.Store(false)
 			vm.logLeaving()
 		case <-threads.Done():
@@ -234,11 +231,6 @@
 	}
 }
 
-// leaveAfter returns how long to go on after SIGTERM, well before the kill.
-func (vm *VM) leaveAfter() time.Duration {
-	return min(leaveAfter, vm.wire.Grace/2)
-}
-
 // reload takes the settings that may change while the VM runs. Addresses stay.
 func (vm *VM) reload(file sparconfig.File) {
 	vm.file.Seeds = file.Seeds
--- a/internal/vm/sparentry/facts.go
+++ b/internal/vm/sparentry/facts.go
@@ -49,7 +49,7 @@
 
 func (vm *VM) state() string {
 	switch {
-	case !vm.stopping.IsZero():
+	case vm.leave.Begun():
 		return stateLeaving
 	case !vm.synced:
 		return stateStarting
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -162,7 +162,7 @@
 }
 
 func (vm *VM) logLeaving() {
-	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "for_ms": vm.leaveAfter().Milliseconds()}).Info("leaving")
+	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "for_ms": vm.leave.Bound().Milliseconds()}).Info("leaving")
 	vm.note("leaving", "", "", 0)
 }
 
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -72,6 +72,9 @@
 		return
 	}
 	defer vm.buffers.Put(p)
+	if vm.leave.Begun() {
+		vm.leave.Packet(vm.clock.now())
+	}
 	s, err := platform.Parse(p.bytes())
 	if err != nil {
 		vm.metrics.refusePacket(err)
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -46,6 +46,9 @@
 		err   error
 	}
 
+	// probed says that the fabric was told to send nothing here.
+	probed struct{}
+
 	// pull is a question to a peer for its settings.
 	pull struct {
 		ask   sparsync.Ask
@@ -57,6 +60,7 @@
 func (read) input()   {}
 func (pulled) input() {}
 func (wrote) input()  {}
+func (probed) input() {}
 
 // take acts on what another thread tells.
 func (vm *VM) take(in input) {
@@ -70,6 +74,8 @@
 		vm.takeReading(in, now)
 	case pulled:
 		vm.takePull(in, now)
+	case probed:
+		vm.leave.Refused(now)
 	case wrote:
 		vm.listed.busy = false
 		if in.err != nil {
@@ -172,7 +178,7 @@
 	vm.logSettings(before, roster, source)
 	if !vm.synced {
 		vm.synced = true
-		vm.ready.Store(vm.stopping.IsZero())
+		vm.ready.Store(!vm.leave.Begun())
 		vm.logReady()
 		vm.engine.Fresh(true)
 		vm.release()
@@ -183,7 +189,7 @@
 // comes back with the next reading: taken over at once, it would make the registry
 // look complete at a revision whose other changes it has not seen.
 func (vm *VM) register(now time.Duration) {
-	if !vm.synced || vm.listed.busy || vm.sync.Failing() || !vm.stopping.IsZero() ||
+	if !vm.synced || vm.listed.busy || vm.sync.Failing() || vm.leave.Begun() ||
 		vm.listed.at > 0 && now-vm.listed.at < listEvery || vm.registry.Revision() < vm.listed.held.Revision {
 		return
 	}
