sparsync, platform: the reader of large settings reads what has changed

Cause: a whole reading each quarter of the bound is 45 KB a time on the grown sites, 36 KB/s, and would be 470 KB/s at the fleet's size, where a VM may spend 8 KB/s on control. Ways weighed: a waiting watch (proves nothing: it may be held back, and costs a call each change); whole readings less often (the bound on changes forbids it); a cheap stale read (proves nothing). Change: a reader whose last whole reading exceeds its share of 8 KB/s asks for the revision, linearizably, and if that has moved for the changes since its own. They count only if their revisions run without a gap to the one asked for; otherwise, and after an outage, everything is read as before. Small settings are still read whole in one call. Tests: TestChangesProveThemselves, TestLargeSettingsAreReadByChange (without a network and with the stand-in, which keeps changes back and drops its history), TestWholeReadingAfterAnOutage; the reader's failures are also played at 90 VMs with the fleet's settings.

--- a/internal/member/sparsync/lab_test.go
+++ b/internal/member/sparsync/lab_test.go
@@ -19,7 +19,11 @@
 	callTime = 8 * time.Millisecond
 	callEnd  = 900 * time.Millisecond // a silent platform
 	tickTime = 50 * time.Millisecond
-	datagram = 150 // bytes of a notice with its headers
+
+	smallSettings = 4_000     // bytes, read whole each time
+	largeSettings = 2_300_000 // bytes of 7,800 upstreams and 1,300 routes
+	changeSize    = 500       // bytes of a change and of a call that brings none
+	datagram      = 150       // bytes of a notice with its headers
 )
 
 type (
@@ -37,6 +41,9 @@
 		wholes   int            // pulls of everything
 		sent     map[string]int // datagrams by VM
 		lost     float64
+		size     int           // bytes of a whole reading
+		read     int           // bytes of all readings
+		hiding   bool          // the platform keeps the latest changes back
 		slowest  time.Duration // from a change to its being held everywhere it must be
 	}
 
@@ -63,7 +70,7 @@
 )
 
 func newLab(t *testing.T, n int) *lab {
-	l := &lab{t: t, r: rand.New(rand.NewPCG(1, uint64(n))), revision: 10, sent: map[string]int{}}
+	l := &lab{t: t, r: rand.New(rand.NewPCG(1, uint64(n))), revision: 10, size: smallSettings, sent: map[string]int{}}
 	for i := range n {
 		vm := sparconfig.VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%3), Control: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}
 		l.vms = append(l.vms, &member{lab: l, vm: vm})
@@ -165,7 +172,7 @@
 	for _, out := range outs {
 		switch out := out.(type) {
 		case sparsync.Read:
-			m.read()
+			m.read(out.After)
 		case sparsync.Ask:
 			m.pull(out)
 		case sparsync.Enquire:
@@ -191,7 +198,8 @@
 	l.later(to, hop, func() { to.perform(deliver(to)) })
 }
 
-func (m *member) read() {
+// read reads the platform: everything, or the revision and what has changed.
+func (m *member) read(after uint64) {
 	l := m.lab
 	l.calls++
 	began := l.now
@@ -202,8 +210,21 @@
 		l.later(m, callTime, func() { m.perform(m.sync.ReadFailed(l.now)) })
 	default:
 		l.later(m, callTime, func() {
+			l.read += changeSize
+			if after > 0 && after < l.revision {
+				l.calls++
+			}
+			if after > 0 && after < l.revision && l.hiding {
+				m.perform(m.sync.ReadBroken(l.now))
+				return
+			}
+			size := 0
+			if after == 0 {
+				size = l.size
+				l.read += size
+			}
 			m.hold(l.revision)
-			m.perform(m.sync.ReadDone(began, m.holds(), l.now))
+			m.perform(m.sync.ReadDone(began, m.holds(), size, l.now))
 		})
 	}
 }
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -10,7 +10,7 @@
 	var outs []Output
 	if s.readDue(now) {
 		s.busy, s.readBegan = true, now
-		outs = append(outs, Read{})
+		outs = append(outs, s.read(now))
 	}
 	return append(outs, s.asks(now)...)
 }
@@ -32,8 +32,23 @@
 	return s.Age(now) >= s.share(takeoverShare)+stagger
 }
 
-// ReadDone takes the outcome of a reading that began at a time.
-func (s *Sync) ReadDone(began time.Duration, held Held, now time.Duration) []Output {
+// read asks for a reading. Changes do where everything would be too much to read each
+// time. Just after an outage of the platform they do not: an entry may have lapsed that
+// is to be kept for a while, and only a whole reading tells that it is missing still.
+func (s *Sync) read(now time.Duration) Output {
+	budget := int(controlRate * s.share(readShare).Seconds())
+	if !s.Synced() || s.failing || s.Settling(now) || s.size <= budget {
+		return Read{}
+	}
+	return Read{After: s.held.Revision}
+}
+
+// ReadDone takes the outcome of a reading that began at a time. size is the number of
+// bytes of a whole reading, 0 for one of changes.
+func (s *Sync) ReadDone(began time.Duration, held Held, size int, now time.Duration) []Output {
+	if size > 0 {
+		s.size = size
+	}
 	s.busy = false
 	s.held = held
 	s.wanted, s.missed = wanted{}, Notice{}
@@ -50,6 +65,13 @@
 	return s.tell(now)
 }
 
+// ReadBroken takes a reading of changes that left some out, so that it proves nothing.
+// Everything is read in its place, and counts from then on.
+func (s *Sync) ReadBroken(now time.Duration) []Output {
+	s.readBegan = now
+	return []Output{Read{}}
+}
+
 // ReadFailed takes the failure of a reading.
 func (s *Sync) ReadFailed(now time.Duration) []Output {
 	s.busy, s.failing = false, true
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -11,7 +11,7 @@
 //	for _, out := range s.Tick(now) {
 //		switch out := out.(type) {
 //		case sparsync.Read:
-//			// list the platform, then call s.ReadDone
+//			// read the platform, then call s.ReadDone
 //		case sparsync.Notify:
 //			// send out.Notice to out.To
 //		}
@@ -55,6 +55,9 @@
 	startPatience = 300 * time.Millisecond
 	// aliveFor is how long a peer counts as reachable after it was last heard.
 	aliveFor = 6 * time.Second
+	// controlRate is what a VM may spend on control, in bytes a second. A reader of
+	// settings that need more reads what has changed.
+	controlRate = 8000
 	// maxOrders is the number of orders of names kept: one for takeovers, and one for
 	// each VM that has read lately.
 	maxOrders = 8
@@ -77,8 +80,11 @@
 		output()
 	}
 
-	// Read asks for a whole reading of the platform.
-	Read struct{}
+	// Read asks for a reading of the platform: of what has changed after a revision, or
+	// of everything where that is 0.
+	Read struct {
+		After uint64
+	}
 
 	// Ask pulls settings from a peer.
 	Ask struct {
@@ -142,6 +148,7 @@
 		busy      bool   // a reading is under way
 		readBegan time.Duration
 		readAt    time.Duration
+		size      int // bytes of the last whole reading, 0 before the first
 		retry     time.Duration
 		failing   bool
 		returned  time.Duration // when the platform answered again after a failure
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -17,7 +17,7 @@
 			fmt.Println("read")
 		}
 	}
-	s.ReadDone(time.Millisecond, sparsync.Held{Revision: 7, Digest: 42}, 9*time.Millisecond)
+	s.ReadDone(time.Millisecond, sparsync.Held{Revision: 7, Digest: 42}, 4000, 9*time.Millisecond)
 	fmt.Println(s.State(), s.Fresh(time.Second), s.Fresh(2*time.Second))
 	// Output:
 	// read
@@ -77,9 +77,12 @@
 		{"cut from the other VMs", func(_ *lab, r *member) { r.side = 1 }},
 	}
 	for _, f := range faults {
-		for _, n := range []int{8, 90} {
-			t.Run(fmt.Sprintf("%s of %d", f.name, n), func(t *testing.T) {
-				l := newLab(t, n)
+		for _, one := range []struct {
+			n, size int
+		}{{8, smallSettings}, {90, smallSettings}, {90, largeSettings}} {
+			t.Run(fmt.Sprintf("%s of %d, %d bytes", f.name, one.n, one.size), func(t *testing.T) {
+				l := newLab(t, one.n)
+				l.size = one.size
 				l.changing(5 * time.Second)
 				for range 4 {
 					r := l.reader()
@@ -218,7 +221,7 @@
 func TestSettling(t *testing.T) {
 	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, bound)
 	s.ReadFailed(time.Second)
-	s.ReadDone(2*time.Second, sparsync.Held{Revision: 1}, 2*time.Second)
+	s.ReadDone(2*time.Second, sparsync.Held{Revision: 1}, smallSettings, 2*time.Second)
 	for _, c := range []struct {
 		after time.Duration
 		want  bool
@@ -239,7 +242,7 @@
 		s.List([]sparconfig.VM{{Name: fmt.Sprintf("other-%d", n)}}, now)
 	}
 	s.List(nil, now)
-	s.ReadDone(now, sparsync.Held{Revision: 1, Digest: 1}, now)
+	s.ReadDone(now, sparsync.Held{Revision: 1, Digest: 1}, smallSettings, now)
 	for _, out := range s.Tick(now + bound/2) {
 		if _, ok := out.(sparsync.Read); ok {
 			return
@@ -247,3 +250,70 @@
 	}
 	t.Error("a VM that is alone waits for VMs that left")
 }
+
+// TestLargeSettingsAreReadByChange plays the reader of a fleet, whose settings are in
+// force in time while it stays within what a VM may spend on control.
+func TestLargeSettingsAreReadByChange(t *testing.T) {
+	tests := []struct {
+		name   string
+		hiding bool // changes are kept back for 3 of 20 s
+		bound  int  // bytes a second
+	}{
+		{"changes are told", false, 8_000},
+		{"changes are kept back for a while", true, 4 * largeSettings / 20 * 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLab(t, 90)
+			l.size = largeSettings
+			l.changing(10 * time.Second)
+			l.read = 0
+			l.changing(10 * time.Second)
+			l.hiding = test.hiding
+			l.changing(3 * time.Second)
+			l.hiding = false
+			l.changing(7 * time.Second)
+			if rate := l.read / 20; rate > test.bound {
+				t.Errorf("%d bytes a second read, want at most %d", rate, test.bound)
+			}
+		})
+	}
+}
+
+// TestWholeReadingAfterAnOutage checks that a reader does not rely on changes while
+// entries that have lapsed may come back.
+func TestWholeReadingAfterAnOutage(t *testing.T) {
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s.Tick(1)
+	now := 10 * time.Millisecond
+	s.ReadDone(1, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
+	s.Holds(sparsync.Held{Revision: 7, Digest: 42})
+	next := func() sparsync.Read {
+		for range 1000 {
+			now += 50 * time.Millisecond
+			for _, out := range s.Tick(now) {
+				if r, ok := out.(sparsync.Read); ok {
+					return r
+				}
+			}
+		}
+		t.Fatal("no reading")
+		return sparsync.Read{}
+	}
+	if r := next(); r.After != 7 {
+		t.Errorf("reads what changed after %d, want 7", r.After)
+	}
+	s.ReadFailed(now)
+	if r := next(); r.After != 0 {
+		t.Errorf("after a failure: what changed after %d, want everything", r.After)
+	}
+	s.ReadDone(now, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
+	if r := next(); r.After != 0 {
+		t.Errorf("while the platform settles: what changed after %d, want everything", r.After)
+	}
+	s.ReadDone(now, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
+	now += 3 * time.Second
+	if r := next(); r.After != 7 {
+		t.Errorf("once it has settled: what changed after %d, want 7", r.After)
+	}
+}
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -128,6 +128,26 @@
 	return next
 }
 
+// WithChanges returns r merged with the changes after a revision at which r is complete.
+// revisions are those of all changes in the platform, in order, also of keys that r does
+// not hold. It reports false where one is missing on the way to a revision that the
+// platform has reached: the changes then prove nothing, and r is returned as it was.
+func (r Registry) WithChanges(entries []Entry, revisions []uint64, after, reached uint64) (next Registry, ok bool) {
+	at := after
+	for _, revision := range revisions {
+		if revision > at+1 {
+			return r, false
+		}
+		at = max(at, revision)
+	}
+	if at < reached || r.revision < after || !r.synced {
+		return r, false
+	}
+	next = r.merge(entries)
+	next.revision = max(r.revision, at)
+	return next, true
+}
+
 // WithPeer returns r merged with all entries of a synced peer that is complete at
 // revision.
 func (r Registry) WithPeer(entries []Entry, revision uint64, synced bool) Registry {
--- a/internal/settings/sparregistry/registry_test.go
+++ b/internal/settings/sparregistry/registry_test.go
@@ -72,3 +72,42 @@
 		t.Errorf("the follower misses a change, complete at %d", follower.Revision())
 	}
 }
+
+// TestChangesProveThemselves merges changes, and refuses those that leave some out.
+func TestChangesProveThemselves(t *testing.T) {
+	start := sparregistry.Registry{}.Reading([]sparregistry.Entry{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 5)
+	entries := []sparregistry.Entry{{Key: "a", Revision: 7}, {Key: "b", Revision: 8, Deleted: true}}
+	tests := []struct {
+		name      string
+		revisions []uint64
+		reached   uint64
+		want      bool
+	}{
+		{"all of them", []uint64{6, 7, 8}, 8, true},
+		{"more than were asked for", []uint64{6, 7, 8}, 7, true},
+		{"two of one revision", []uint64{6, 7, 7, 8}, 8, true},
+		{"one left out", []uint64{7, 8}, 8, false},
+		{"the last left out", []uint64{6, 7}, 8, false},
+		{"all left out", nil, 8, false},
+		{"none, and none made", nil, 5, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			next, ok := start.WithChanges(entries, test.revisions, start.Revision(), test.reached)
+			if ok != test.want {
+				t.Fatalf("proved: %v, want %v", ok, test.want)
+			}
+			if !ok && (next.Digest() != start.Digest() || next.Revision() != start.Revision()) {
+				t.Error("changes that prove nothing were taken")
+			}
+			if ok && next.Revision() < test.reached {
+				t.Errorf("complete at %d, want %d", next.Revision(), test.reached)
+			}
+		})
+	}
+	t.Run("onto an older state", func(t *testing.T) {
+		if _, ok := start.WithChanges(entries, []uint64{8}, 7, 8); ok {
+			t.Error("changes after 7 were taken by a registry that is complete at 5")
+		}
+	})
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -64,6 +64,10 @@
 	Store interface {
 		// List reads every key, linearizably.
 		List(ctx context.Context) (platform.Reading, error)
+		// Revision reads the revision of the platform, linearizably.
+		Revision(ctx context.Context) (uint64, error)
+		// Changes reads what has changed after a revision. Some may be missing.
+		Changes(ctx context.Context, after uint64) (platform.Changes, error)
 		// Put writes an entry that is still at its revision, 0 meaning absent, and
 		// returns it as written.
 		Put(ctx context.Context, e sparregistry.Entry) (sparregistry.Entry, error)
@@ -88,7 +92,7 @@
 		inputs  *sparring.Ring[input]
 		asks    *sparring.Questions[*VM]
 		pulls   *sparring.Ring[pull]
-		reads   *sparring.Ring[time.Duration]
+		reads   *sparring.Ring[order]
 		writes  *sparring.Ring[sparregistry.Entry]
 		buffers sync.Pool
 		ready   atomic.Bool
@@ -132,7 +136,7 @@
 		file: file, log: log.WithField("vm", file.Name), store: store, began: time.Now(),
 		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
 		asks: sparring.NewQuestions[*VM](askRing), pulls: sparring.New[pull](pullRing),
-		reads: sparring.New[time.Duration](1), writes: sparring.New[sparregistry.Entry](1),
+		reads: sparring.New[order](1), writes: sparring.New[sparregistry.Entry](1),
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), wire.Force), wire: wire,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -175,6 +175,44 @@
 	eventually(t, "the upstream is taken for gone in the end", func() bool { _, ok := v.log.find("upstream left"); return ok })
 }
 
+// TestLargeSettingsAreReadByChange lists many upstreams, and then changes some while the
+// platform tells of them, keeps them back, and drops its history.
+func TestLargeSettingsAreReadByChange(t *testing.T) {
+	s := newSite(t)
+	for i := range 300 {
+		key, entry := sparfake.Entry(uint64(0x9000+i), "booking", "north", "127.0.0.1:9", false, time.Now())
+		s.fake.Put(key, entry)
+	}
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
+	eventually(t, "listed", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	has := func(version int) func() bool {
+		return func() bool {
+			v.log.mu.Lock()
+			defer v.log.mu.Unlock()
+			return strings.Contains(v.log.text.String(), fmt.Sprintf(`"version":%d`, version))
+		}
+	}
+	served := s.fake.Served()
+	s.route(4)
+	eventually(t, "version 4", has(4))
+	if more := s.fake.Served() - served; more > 20_000 {
+		t.Errorf("%d bytes read for one change, want less than everything", more)
+	}
+	s.fake.Fault(sparfake.Hides)
+	s.route(5)
+	eventually(t, "version 5 though the platform keeps it back", has(5))
+	if _, ok := v.log.find("changes incomplete, everything is read"); !ok {
+		t.Error("no line for changes that were kept back")
+	}
+	s.fake.Fault(sparfake.Sound)
+	s.fake.Compact()
+	s.route(6)
+	eventually(t, "version 6 though the history is gone", has(6))
+	s.fake.Remove(s.key)
+	eventually(t, "the upstream is gone", func() bool { _, ok := v.log.find("upstream left"); return ok })
+}
+
 // TestOwnListingProvesNothing writes the listing of this VM at a revision between two
 // others, and checks that no entry is lost by it.
 func TestOwnListingProvesNothing(t *testing.T) {
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -143,6 +143,12 @@
 	vm.log.WithFields(logrus.Fields{"cause": shortError(err)}).Warn("listing this VM failed, tried again")
 }
 
+func (vm *VM) logBrokenReading(after uint64, c changes) {
+	vm.log.WithFields(logrus.Fields{
+		"after": after, "reached": c.reached, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
+	}).Warn("changes incomplete, everything is read")
+}
+
 func (vm *VM) logRetained(n int) {
 	vm.log.WithFields(logrus.Fields{"upstreams": n}).Warn("missing upstreams kept while the platform settles")
 }
--- /dev/null
+++ b/internal/vm/sparentry/reading.go
@@ -0,0 +1,126 @@
+package sparentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+	"github.com/oleanderspar/oleanderspar/platform"
+)
+
+type (
+	// order is a reading to make: of what changed after a revision, 0 for everything.
+	order struct {
+		began time.Duration
+		after uint64
+	}
+
+	// read is the outcome of a reading of the platform.
+	read struct {
+		order
+		found found
+		err   error
+	}
+
+	// found is what a reading has found. It is a sealed interface: whole or changes.
+	found interface {
+		found()
+	}
+
+	// whole is everything that the platform holds.
+	whole struct {
+		platform.Reading
+	}
+
+	// changes is what has changed by the time the platform reached a revision.
+	changes struct {
+		platform.Changes
+		reached uint64
+	}
+)
+
+func (read) input()    {}
+func (whole) found()   {}
+func (changes) found() {}
+
+// reader is the thread that reads the platform.
+func (vm *VM) reader(ctx context.Context) error {
+	for {
+		select {
+		case o := <-vm.reads.Out():
+			f, err := vm.readPlatform(ctx, o.after)
+			vm.post(ctx, read{order: o, found: f, err: err})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// readPlatform makes one reading. The revision comes first and linearizably, so that
+// changes which the platform keeps back are noticed.
+func (vm *VM) readPlatform(ctx context.Context, after uint64) (f found, err error) {
+	if after == 0 {
+		reading, err := vm.store.List(ctx)
+		return whole{reading}, err
+	}
+	reached, err := vm.store.Revision(ctx)
+	if err != nil || reached == after {
+		return changes{reached: reached}, err
+	}
+	c, err := vm.store.Changes(ctx, after)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		err = nil // without them the reading is incomplete, which its taker sees
+	}
+	return changes{Changes: c, reached: reached}, err
+}
+
+// takeReading takes the outcome of a reading.
+func (vm *VM) takeReading(in read, now time.Duration) {
+	vm.logStore(in.err)
+	if in.err != nil {
+		vm.perform(vm.sync.ReadFailed(now), now)
+		return
+	}
+	size := 0
+	switch f := in.found.(type) {
+	case whole:
+		size = f.Bytes
+		entries := f.Entries
+		if vm.sync.Failing() || vm.sync.Settling(now) {
+			entries = vm.retain(entries)
+		}
+		vm.adopt(vm.registry.Reading(entries, f.Revision), "platform")
+	case changes:
+		next, ok := vm.registry.WithChanges(f.Entries, f.Revisions, in.after, f.reached)
+		if !ok {
+			vm.logBrokenReading(in.after, f)
+			vm.perform(vm.sync.ReadBroken(now), now)
+			return
+		}
+		vm.adopt(next, "platform")
+	}
+	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
+}
+
+// retain adds the upstreams that a reading lacks. After an outage of the platform
+// their entries may have lapsed while they live.
+func (vm *VM) retain(entries []sparregistry.Entry) []sparregistry.Entry {
+	present := map[string]bool{}
+	for _, e := range entries {
+		present[e.Key] = true
+	}
+	kept := 0
+	for _, e := range vm.registry.Under(sparroster.UpstreamPrefix) {
+		if !present[e.Key] {
+			entries = append(entries, e)
+			kept++
+		}
+	}
+	if kept > 0 {
+		vm.logRetained(kept)
+	}
+	return entries
+}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -26,13 +26,6 @@
 		datagram sparcontrol.Input
 	}
 
-	// read is the outcome of a reading of the platform.
-	read struct {
-		began   time.Duration
-		reading platform.Reading
-		err     error
-	}
-
 	// pulled is the outcome of a pull from a peer.
 	pulled struct {
 		pull  pull
@@ -57,7 +50,6 @@
 )
 
 func (heard) input()  {}
-func (read) input()   {}
 func (pulled) input() {}
 func (wrote) input()  {}
 func (probed) input() {}
@@ -102,41 +94,6 @@
 	vm.age = vm.sync.Age(now)
 }
 
-func (vm *VM) takeReading(in read, now time.Duration) {
-	if in.err != nil {
-		vm.logStore(in.err)
-		vm.perform(vm.sync.ReadFailed(now), now)
-		return
-	}
-	vm.logStore(nil)
-	entries := in.reading.Entries
-	if vm.sync.Failing() || vm.sync.Settling(now) {
-		entries = vm.retain(entries)
-	}
-	vm.adopt(vm.registry.Reading(entries, in.reading.Revision), "platform")
-	vm.perform(vm.sync.ReadDone(in.began, vm.held(), now), now)
-}
-
-// retain adds the upstreams that a reading lacks. After an outage of the platform
-// their entries may have lapsed while they live.
-func (vm *VM) retain(entries []sparregistry.Entry) []sparregistry.Entry {
-	present := map[string]bool{}
-	for _, e := range entries {
-		present[e.Key] = true
-	}
-	kept := 0
-	for _, e := range vm.registry.Under(sparroster.UpstreamPrefix) {
-		if !present[e.Key] {
-			entries = append(entries, e)
-			kept++
-		}
-	}
-	if kept > 0 {
-		vm.logRetained(kept)
-	}
-	return entries
-}
-
 func (vm *VM) takePull(in pulled, now time.Duration) {
 	if in.err != nil {
 		vm.logPullFailed(in.pull, in.err)
@@ -211,7 +168,7 @@
 	for _, out := range outs {
 		switch out := out.(type) {
 		case sparsync.Read:
-			vm.reads.Put(now)
+			vm.reads.Put(order{began: now, after: out.After})
 		case sparsync.Ask:
 			vm.pulls.Put(pull{ask: out, began: now}) // one at a time, see sparsync
 		case sparsync.Enquire:
@@ -224,19 +181,6 @@
 	}
 }
 
-// reader is the thread that reads the platform.
-func (vm *VM) reader(ctx context.Context) error {
-	for {
-		select {
-		case began := <-vm.reads.Out():
-			reading, err := vm.store.List(ctx)
-			vm.post(ctx, read{began: began, reading: reading, err: err})
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // registrar is the thread that lists this VM in the platform.
 func (vm *VM) registrar(ctx context.Context) error {
 	for {
