sparregistry: a VM that has just started shares everything, since it knows no deletions

Change: a registry remembers the revision of its first reading; who asks for changes from before it gets everything, said so in the reply, and deletes what is absent. Share and WithShare replace After and WithPeer in both carriers.

--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -169,15 +169,27 @@
 	}
 }
 
-// FromEntries returns settings entries in wire form.
-func FromEntries(entries []sparregistry.Entry) []*Entry {
+// FromShare returns the reply to a pull, for the caller to add the age of the settings.
+func FromShare(s sparregistry.Share, digest uint64) *PullReply {
+	return &PullReply{
+		Entries: fromEntries(s.Entries), Revision: s.Revision, Synced: s.Synced, Whole: s.Whole, Digest: digest,
+	}
+}
+
+// ToShare returns what the peer has shared.
+func (r *PullReply) ToShare() sparregistry.Share {
+	return sparregistry.Share{Entries: toEntries(r.Entries), Revision: r.Revision, Synced: r.Synced, Whole: r.Whole}
+}
+
+// fromEntries returns settings entries in wire form.
+func fromEntries(entries []sparregistry.Entry) []*Entry {
 	return convert(entries, func(e sparregistry.Entry) *Entry {
 		return &Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 	})
 }
 
-// ToEntries returns the settings entries of a reply.
-func ToEntries(entries []*Entry) []sparregistry.Entry {
+// toEntries returns the settings entries of a reply.
+func toEntries(entries []*Entry) []sparregistry.Entry {
 	return convert(entries, func(e *Entry) sparregistry.Entry {
 		return sparregistry.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 	})
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -35,8 +35,17 @@
 		entries  map[string]Entry
 		digest   uint64
 		revision uint64
+		since    uint64 // deletions after this revision are known here
 		synced   bool
 	}
+
+	// Share is what a VM hands to a peer of its registry.
+	Share struct {
+		Entries  []Entry
+		Revision uint64 // at which the registry is complete
+		Synced   bool   // it holds a whole reading
+		Whole    bool   // Entries is everything: keys that are absent are deleted
+	}
 )
 
 // Get returns the live entry of key.
@@ -57,16 +66,18 @@
 	return found
 }
 
-// After returns every entry, deleted ones included, changed after revision.
-func (r Registry) After(revision uint64) []Entry {
-	found := []Entry{}
+// Share returns what a peer lacks that is complete at a revision, 0 where it knows nothing.
+// A registry knows no deletions from before its first reading; a peer that may have missed
+// some gets everything.
+func (r Registry) Share(after uint64) Share {
+	s := Share{Entries: []Entry{}, Revision: r.revision, Synced: r.synced, Whole: r.synced && (after == 0 || after < r.since)}
 	for _, e := range r.entries {
-		if e.Revision > revision {
-			found = append(found, e)
+		if s.Whole && !e.Deleted || !s.Whole && e.Revision > after {
+			s.Entries = append(s.Entries, e)
 		}
 	}
-	slices.SortFunc(found, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	return found
+	slices.SortFunc(s.Entries, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	return s
 }
 
 // Revision returns the platform revision at which r is complete.
@@ -124,7 +135,9 @@
 	}
 	next = next.merge(gone)
 	next.revision = max(r.revision, revision)
-	next.synced = true
+	if !r.synced {
+		next.since, next.synced = revision, true
+	}
 	return next
 }
 
@@ -148,12 +161,14 @@
 	return next, true
 }
 
-// WithPeer returns r merged with all entries of a synced peer that is complete at
-// revision.
-func (r Registry) WithPeer(entries []Entry, revision uint64, synced bool) Registry {
-	next := r.merge(entries)
-	next.revision = max(r.revision, revision)
-	next.synced = r.synced || synced
+// WithShare returns r merged with what a peer has shared.
+func (r Registry) WithShare(s Share) Registry {
+	if s.Whole {
+		return r.Reading(s.Entries, s.Revision)
+	}
+	next := r.merge(s.Entries)
+	next.revision = max(r.revision, s.Revision)
+	next.synced = r.synced || s.Synced
 	return next
 }
 
--- a/internal/settings/sparregistry/registry_test.go
+++ b/internal/settings/sparregistry/registry_test.go
@@ -65,9 +65,9 @@
 	if reader.Revision() != 10 {
 		t.Errorf("complete at %d, want 10", reader.Revision())
 	}
-	follower := sparregistry.Registry{}.Reading(reader.After(0), reader.Revision())
+	follower := sparregistry.Registry{}.WithShare(reader.Share(0))
 	reader = reader.Reading([]sparregistry.Entry{entry("a", 11), entry("z", 12)}, 12)
-	follower = follower.WithPeer(reader.After(follower.Revision()), reader.Revision(), true)
+	follower = follower.WithShare(reader.Share(follower.Revision()))
 	if follower.Digest() != reader.Digest() || follower.Revision() != 12 {
 		t.Errorf("the follower misses a change, complete at %d", follower.Revision())
 	}
@@ -111,3 +111,20 @@
 		}
 	})
 }
+
+// TestFreshPeerKnowsNoDeletions pulls from a VM that started after a key was deleted, and
+// so never held it. What follows the peer's revision alone would leave the key in force.
+func TestFreshPeerKnowsNoDeletions(t *testing.T) {
+	a, b := sparregistry.Entry{Key: "a", Revision: 1}, sparregistry.Entry{Key: "b", Revision: 2}
+	follower := sparregistry.Registry{}.Reading([]sparregistry.Entry{a, b}, 2)
+	fresh := sparregistry.Registry{}.Reading([]sparregistry.Entry{a}, 3)
+	follower = follower.WithShare(fresh.Share(follower.Revision()))
+	if _, ok := follower.Get("b"); ok || follower.Revision() != 3 || follower.Digest() != fresh.Digest() {
+		t.Errorf("complete at %d with the deleted key: %v", follower.Revision(), ok)
+	}
+	c := sparregistry.Entry{Key: "c", Revision: 4}
+	fresh = fresh.Reading([]sparregistry.Entry{a, c}, 4)
+	if s := fresh.Share(3); s.Whole || len(s.Entries) != 1 {
+		t.Errorf("whole: %v, %d entries, want the one that changed after its first reading", s.Whole, len(s.Entries))
+	}
+}
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -22,12 +22,10 @@
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
 	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.PullReply {
-		age := vm.sync.Age(vm.clock.now())
-		return &sparcontrol.PullReply{
-			Entries:  sparcontrol.FromEntries(vm.registry.After(r.After)),
-			Revision: vm.registry.Revision(), Digest: vm.registry.Digest(), Synced: vm.sync.Synced(),
-			Reader: vm.sync.Reader(), Age: uint64(max(age, 0).Microseconds()),
-		}
+		reply := sparcontrol.FromShare(vm.registry.Share(r.After), vm.registry.Digest())
+		reply.Synced, reply.Reader = vm.sync.Synced(), vm.sync.Reader()
+		reply.Age = uint64(max(vm.sync.Age(vm.clock.now()), 0).Microseconds())
+		return reply
 	})
 }
 
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -105,15 +105,9 @@
 		vm.perform(vm.sync.PullFailed(now), now)
 		return
 	}
-	entries := sparcontrol.ToEntries(r.Entries)
-	whole := in.pull.ask.After == 0
-	if whole {
-		vm.adopt(vm.registry.Reading(entries, r.Revision), in.pull.ask.From.Name)
-	} else {
-		vm.adopt(vm.registry.WithPeer(entries, r.Revision, r.Synced), in.pull.ask.From.Name)
-	}
+	vm.adopt(vm.registry.WithShare(r.ToShare()), in.pull.ask.From.Name)
 	certain := in.pull.began - time.Duration(r.Age)*time.Microsecond
-	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, r.Digest, whole, now), now)
+	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, r.Digest, r.Whole, now), now)
 }
 
 func (vm *VM) held() sparsync.Held {
--- a/internal/vm/sparnode/failure_test.go
+++ b/internal/vm/sparnode/failure_test.go
@@ -249,8 +249,7 @@
 		}
 	}
 	vm := l.boot("vm-9", "domain-0")
-	r := l.vms[0].node.Registry() // what a seed answers
-	vm.node.Merge(r.After(0), r.Revision(), r.Synced())
+	vm.node.Merge(l.vms[0].node.Registry().Share(0)) // what a seed answers
 	l.talk(flows, 5*time.Second)
 	if vm.node.Tracker.State() != "serving" {
 		t.Errorf("fresh VM is %s", vm.node.Tracker.State())
--- a/internal/vm/sparnode/lab_test.go
+++ b/internal/vm/sparnode/lab_test.go
@@ -255,9 +255,8 @@
 func (l *lab) pull(vm *labVM, p sparnode.Pull) {
 	asker := vm.name
 	l.wire(asker, p.From.Name, 0, func(peer *labVM) {
-		r := peer.node.Registry()
-		entries, revision, synced := r.After(p.After), r.Revision(), r.Synced()
-		l.wire(peer.name, asker, l.late(asker), func(vm *labVM) { vm.node.Merge(entries, revision, synced) })
+		share := peer.node.Registry().Share(p.After)
+		l.wire(peer.name, asker, l.late(asker), func(vm *labVM) { vm.node.Merge(share) })
 	})
 }
 
--- a/internal/vm/sparnode/settings.go
+++ b/internal/vm/sparnode/settings.go
@@ -13,9 +13,7 @@
 }
 
 // Merge merges what a peer sent.
-func (n *Node) Merge(entries []sparregistry.Entry, revision uint64, synced bool) {
-	n.adopt(n.registry.WithPeer(entries, revision, synced))
-}
+func (n *Node) Merge(s sparregistry.Share) { n.adopt(n.registry.WithShare(s)) }
 
 func (n *Node) adopt(next sparregistry.Registry) {
 	changed := next.Digest() != n.registry.Digest()
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -47,10 +47,7 @@
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
 	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.PullReply {
 		registry := s.node.Registry()
-		return &sparcontrol.PullReply{
-			Entries:  sparcontrol.FromEntries(registry.After(r.After)),
-			Revision: registry.Revision(), Synced: registry.Synced(),
-		}
+		return sparcontrol.FromShare(registry.Share(r.After), registry.Digest())
 	})
 }
 
--- a/internal/vm/sparserver/server.go
+++ b/internal/vm/sparserver/server.go
@@ -99,9 +99,7 @@
 	}
 
 	learned struct {
-		entries  []sparregistry.Entry
-		revision uint64
-		synced   bool
+		share sparregistry.Share
 	}
 )
 
@@ -228,7 +226,7 @@
 			s.node.Reading(in.reading.Entries, in.reading.Revision)
 		}
 	case learned:
-		s.node.Merge(in.entries, in.revision, in.synced)
+		s.node.Merge(in.share)
 	}
 	s.perform(s.node.Drain())
 }
--- a/internal/vm/sparserver/threads.go
+++ b/internal/vm/sparserver/threads.go
@@ -76,9 +76,7 @@
 				s.log.WithError(err).Debug("pull")
 				continue
 			}
-			s.inputs.Put(learned{
-				entries: sparcontrol.ToEntries(reply.Entries), revision: reply.Revision, synced: reply.Synced,
-			})
+			s.inputs.Put(learned{share: reply.ToShare()})
 		case <-ctx.Done():
 			return nil
 		}
