sparregistry: changes from a peer count as complete only where the digests agree

And a first reading of several pages has more than one revision: a key deleted between two pages is neither held nor known as deleted. Change: changes are merged as before, but raise the revision only if the digest is then the peer's. If not, everything is asked for at once instead of a round later (sparsync.Pulled).

--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -294,14 +294,18 @@
 func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) { s.alive(vm, now) }
 
 // Pulled takes the outcome of an Ask, after the registry has merged what came. The
-// settings of the peer were complete at the time given; whole says that everything
-// came, so that the registry holds at least what the peer holds.
-func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, digest uint64, whole bool, now time.Duration) []Output {
+// settings of the peer were complete at the time given, as held there; whole says that
+// everything came, so that the registry holds at least what the peer holds. Changes that
+// did not suffice are followed by everything.
+func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, there Held, whole bool, now time.Duration) []Output {
 	s.alive(from, now)
 	s.pulling = false
-	if s.held.Digest == digest || whole {
+	if s.held.Digest == there.Digest || whole {
 		s.wanted = wanted{}
 		s.confirm(certain, mark{reader: reader})
+	} else if s.held.Revision < there.Revision {
+		s.pulling, s.pulledAt = true, now
+		return []Output{Ask{From: from}}
 	}
 	return append(s.catchUp(now), s.tell(now)...)
 }
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -317,3 +317,38 @@
 		t.Errorf("once it has settled: what changed after %d, want 7", r.After)
 	}
 }
+
+// TestChangesThatDoNotSuffice pulls from a peer that has started lately: what it shares
+// leaves this VM at its own revision, and everything is asked for at once.
+func TestChangesThatDoNotSuffice(t *testing.T) {
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s.Tick(1)
+	now := 10 * time.Millisecond
+	s.ReadDone(1, sparsync.Held{Revision: 7, Digest: 42}, smallSettings, now)
+	peer := sparconfig.VM{Name: "vm-2", Control: "10.0.0.2:1"}
+	there := sparsync.Held{Revision: 9, Digest: 43}
+	after := func(outs []sparsync.Output) uint64 {
+		t.Helper()
+		for _, out := range outs {
+			if ask, ok := out.(sparsync.Ask); ok {
+				return ask.After
+			}
+		}
+		t.Fatalf("no pull among %v", outs)
+		return 0
+	}
+	outs := s.Heard(sparsync.Notice{From: peer, Reader: "vm-2", Round: 1, Revision: 9, Digest: 43}, now)
+	if got := after(outs); got != 7 {
+		t.Errorf("asks for what changed after %d, want 7", got)
+	}
+	s.Holds(sparsync.Held{Revision: 7, Digest: 41})
+	if got := after(s.Pulled(peer, "vm-2", now, there, false, now)); got != 0 {
+		t.Errorf("then for what changed after %d, want everything", got)
+	}
+	s.Holds(there)
+	for _, out := range s.Pulled(peer, "vm-2", now, there, true, now) {
+		if _, ok := out.(sparsync.Ask); ok {
+			t.Error("asks again after everything came")
+		}
+	}
+}
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -170,15 +170,18 @@
 }
 
 // FromShare returns the reply to a pull, for the caller to add the age of the settings.
-func FromShare(s sparregistry.Share, digest uint64) *PullReply {
+func FromShare(s sparregistry.Share) *PullReply {
 	return &PullReply{
-		Entries: fromEntries(s.Entries), Revision: s.Revision, Synced: s.Synced, Whole: s.Whole, Digest: digest,
+		Entries: fromEntries(s.Entries), Revision: s.Revision, Digest: s.Digest, Synced: s.Synced, Whole: s.Whole,
 	}
 }
 
 // ToShare returns what the peer has shared.
 func (r *PullReply) ToShare() sparregistry.Share {
-	return sparregistry.Share{Entries: toEntries(r.Entries), Revision: r.Revision, Synced: r.Synced, Whole: r.Whole}
+	return sparregistry.Share{
+		Entries: toEntries(r.Entries), Revision: r.Revision, Digest: r.Digest,
+		Synced: r.Synced, Whole: r.Whole,
+	}
 }
 
 // fromEntries returns settings entries in wire form.
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -35,7 +35,6 @@
 		entries  map[string]Entry
 		digest   uint64
 		revision uint64
-		since    uint64 // deletions after this revision are known here
 		synced   bool
 	}
 
@@ -43,6 +42,7 @@
 	Share struct {
 		Entries  []Entry
 		Revision uint64 // at which the registry is complete
+		Digest   uint64 // of the registry
 		Synced   bool   // it holds a whole reading
 		Whole    bool   // Entries is everything: keys that are absent are deleted
 	}
@@ -66,11 +66,13 @@
 	return found
 }
 
-// Share returns what a peer lacks that is complete at a revision, 0 where it knows nothing.
-// A registry knows no deletions from before its first reading; a peer that may have missed
-// some gets everything.
+// Share returns what a peer lacks that is complete at a revision, 0 where it knows nothing
+// and gets everything.
 func (r Registry) Share(after uint64) Share {
-	s := Share{Entries: []Entry{}, Revision: r.revision, Synced: r.synced, Whole: r.synced && (after == 0 || after < r.since)}
+	s := Share{
+		Entries: []Entry{}, Revision: r.revision, Digest: r.digest, Synced: r.synced,
+		Whole: r.synced && after == 0,
+	}
 	for _, e := range r.entries {
 		if s.Whole && !e.Deleted || !s.Whole && e.Revision > after {
 			s.Entries = append(s.Entries, e)
@@ -135,9 +137,7 @@
 	}
 	next = next.merge(gone)
 	next.revision = max(r.revision, revision)
-	if !r.synced {
-		next.since, next.synced = revision, true
-	}
+	next.synced = true
 	return next
 }
 
@@ -161,13 +161,18 @@
 	return next, true
 }
 
-// WithShare returns r merged with what a peer has shared.
+// WithShare returns r merged with what a peer has shared. Changes need not hold every
+// deletion: a peer that has started lately never knew some of the keys. Only equal digests
+// show that none is missing; where they differ, r takes the entries but counts as complete
+// at its own revision still.
 func (r Registry) WithShare(s Share) Registry {
 	if s.Whole {
 		return r.Reading(s.Entries, s.Revision)
 	}
 	next := r.merge(s.Entries)
-	next.revision = max(r.revision, s.Revision)
+	if next.digest == s.Digest {
+		next.revision = max(r.revision, s.Revision)
+	}
 	next.synced = r.synced || s.Synced
 	return next
 }
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -22,7 +22,7 @@
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
 	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.PullReply {
-		reply := sparcontrol.FromShare(vm.registry.Share(r.After), vm.registry.Digest())
+		reply := sparcontrol.FromShare(vm.registry.Share(r.After))
 		reply.Synced, reply.Reader = vm.sync.Synced(), vm.sync.Reader()
 		reply.Age = uint64(max(vm.sync.Age(vm.clock.now()), 0).Microseconds())
 		return reply
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -107,7 +107,7 @@
 	}
 	vm.adopt(vm.registry.WithShare(r.ToShare()), in.pull.ask.From.Name)
 	certain := in.pull.began - time.Duration(r.Age)*time.Microsecond
-	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, r.Digest, r.Whole, now), now)
+	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, sparsync.Held{Revision: r.Revision, Digest: r.Digest}, r.Whole, now), now)
 }
 
 func (vm *VM) held() sparsync.Held {
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -46,8 +46,7 @@
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
 	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.PullReply {
-		registry := s.node.Registry()
-		return sparcontrol.FromShare(registry.Share(r.After), registry.Digest())
+		return sparcontrol.FromShare(s.node.Registry().Share(r.After))
 	})
 }
 
