sparleave: VMs of one failure domain that are told to stop together take turns

Cause: where fewer than half of a domain's VMs take packets the routers use all of them again, and so send to processes that have ended. Change: VMs that leave tell each other; one refuses probes only while half of its domain would stay, and ends before it is killed in any case. Tests: TestTurns, which failed without the announcements (1.18 s of packets to stopped VMs for both of two and two of three at once), TestTurnsEnd; TestTurns of sparentry with real VMs.

--- a/internal/member/sparleave/leave_test.go
+++ b/internal/member/sparleave/leave_test.go
@@ -10,25 +10,36 @@
 
 const (
 	ms    = time.Millisecond
+	step  = 10 * ms
 	grace = 6 * time.Second
+
+	// Of the fabric and of starts.
+	probeEvery  = 500 * ms
+	probesToOut = 2
+	restartTime = 600 * ms
 )
 
 // ExampleLeave ends a process soon after the fabric has left it.
 func ExampleLeave() {
 	var l sparleave.Leave
-	l.Begin(1000*ms, grace)
+	l.Begin("vm-1", 1000*ms, grace)
+	l.Tick(1, 1000*ms)
+	fmt.Println(l.Ready())
 	l.Refused(1300 * ms)
 	l.Refused(1800 * ms)
 	fmt.Println(l.Done(1900*ms), l.Done(1960*ms))
-	// Output: false true
+	// Output:
+	// false
+	// false true
 }
 
-// ended returns when a VM that was told to stop at 0 ends, with probes and packets at the
-// times given.
+// ended returns when a VM alone in its failure domain that was told to stop at 0 ends, with
+// probes and packets at the times given.
 func ended(grace time.Duration, probes, packets []time.Duration) time.Duration {
 	var l sparleave.Leave
-	l.Begin(0, grace)
-	for now := time.Duration(0); ; now += 10 * ms {
+	l.Begin("vm-1", 0, grace)
+	for now := time.Duration(0); ; now += step {
+		l.Tick(1, now)
 		if l.Done(now) {
 			return now
 		}
@@ -54,18 +65,18 @@
 }
 
 func TestEndsOnceTheFabricHasLeft(t *testing.T) {
-	probes := every(300*ms, 5000*ms, 500*ms)
+	probes := every(300*ms, 5000*ms, probeEvery)
 	tests := []struct {
 		name            string
 		grace           time.Duration
 		probes, packets []time.Duration
 		want            time.Duration
 	}{
-		{"packets until the second probe", grace, probes, every(0, 800*ms, 10*ms), 950 * ms},
-		{"packets under way after it", grace, probes, every(0, 900*ms, 10*ms), 1050 * ms},
-		{"the fabric goes on sending", grace, probes, every(0, 9000*ms, 10*ms), sparleave.Bound},
-		{"the fabric does not probe", grace, nil, nil, sparleave.Bound},
-		{"others probe as well", grace, []time.Duration{50 * ms, 60 * ms, 70 * ms}, nil, sparleave.Bound},
+		{"packets until the second probe", grace, probes, every(0, 800*ms, step), 950 * ms},
+		{"packets under way after it", grace, probes, every(0, 900*ms, step), 1050 * ms},
+		{"the fabric goes on sending", grace, probes, every(0, 9000*ms, step), 1800 * ms},
+		{"the fabric does not probe", grace, nil, nil, 1800 * ms},
+		{"others probe as well", grace, []time.Duration{50 * ms, 60 * ms, 70 * ms}, nil, 1800 * ms},
 		{"killed soon", 2 * time.Second, nil, nil, time.Second},
 	}
 	for _, test := range tests {
@@ -81,11 +92,118 @@
 	var l sparleave.Leave
 	l.Refused(0)
 	l.Refused(500 * ms)
-	if l.Done(time.Hour) || l.Begun() {
+	if l.Done(time.Hour) || l.Begun() || !l.Ready() {
 		t.Error("a VM ends that was not told to")
 	}
-	l.Begin(time.Second, grace)
+	l.Begin("vm-1", time.Second, grace)
+	l.Tick(1, time.Second)
 	if l.Done(1500 * ms) {
 		t.Error("probes of its start count")
 	}
 }
+
+// member is a VM of one failure domain, as the fabric sees it.
+type member struct {
+	leave   sparleave.Leave
+	missed  int           // probes in a row
+	stopped time.Duration // its process ended, or 0
+	killed  bool          // before it was done
+	told    time.Duration
+	lost    time.Duration // packets came while it was stopped
+}
+
+// domain plays VMs that are told to stop at the times given, and returns for how long the
+// fabric sent packets to a VM that had stopped. Announcements get lost where deaf is set.
+func domain(t *testing.T, stops []time.Duration, deaf bool) (lost time.Duration) {
+	vms := make([]*member, len(stops))
+	for i := range vms {
+		vms[i] = &member{}
+	}
+	name := func(i int) string { return fmt.Sprintf("vm-%d", i) }
+	for now := step; now < 20*time.Second; now += step {
+		for i, vm := range vms {
+			running := vm.stopped == 0 || now-vm.stopped >= restartTime
+			if running && vm.stopped > 0 {
+				vm.leave, vm.stopped = sparleave.Leave{}, 0
+			}
+			if now == stops[i] {
+				vm.leave.Begin(name(i), now, grace)
+				vm.told = now
+			}
+			for _, d := range vm.leave.Tick(len(vms), now) {
+				for j, other := range vms {
+					if j != i && !deaf && other.stopped == 0 {
+						other.leave.Heard(d, now)
+					}
+				}
+			}
+			if (now+time.Duration(i)*110*ms)%probeEvery == 0 {
+				if running && vm.leave.Ready() {
+					vm.missed = 0
+				} else {
+					vm.missed++
+					vm.leave.Refused(now)
+				}
+			}
+		}
+		out := 0
+		for _, vm := range vms {
+			if vm.missed >= probesToOut {
+				out++
+			}
+		}
+		for _, vm := range vms {
+			sent := vm.missed < probesToOut || 2*(len(vms)-out) < len(vms)
+			if sent && vm.stopped > 0 {
+				lost += step
+			}
+			if sent && vm.stopped == 0 && vm.leave.Begun() {
+				vm.leave.Packet(now)
+			}
+			if vm.stopped == 0 && vm.leave.Done(now) {
+				vm.stopped = now
+			}
+			if vm.stopped == 0 && vm.leave.Begun() && now-vm.told >= grace {
+				t.Fatalf("killed at %v, %v after it was told to stop", now, now-vm.told)
+			}
+		}
+	}
+	return lost
+}
+
+// TestTurns tells several VMs of a failure domain to stop, close to each other, and checks
+// that the fabric never sends to one that has stopped.
+func TestTurns(t *testing.T) {
+	tests := []struct {
+		name  string
+		stops []time.Duration
+	}{
+		{"one of two", []time.Duration{time.Second, time.Hour}},
+		{"both of two, 1.2 s apart", []time.Duration{time.Second, 2200 * ms}},
+		{"both of two, at once", []time.Duration{time.Second, time.Second}},
+		{"two of three, 1.2 s apart", []time.Duration{2200 * ms, time.Second, time.Hour}},
+		{"two of three, at once", []time.Duration{time.Second, time.Second, time.Hour}},
+		{"four of four, 1.2 s apart", []time.Duration{time.Second, 2200 * ms, 3400 * ms, 4600 * ms}},
+		{"half of eight, at once", []time.Duration{
+			time.Second, time.Second, time.Second, time.Second, time.Hour, time.Hour, time.Hour, time.Hour,
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if lost := domain(t, test.stops, false); lost > 0 {
+				t.Errorf("packets went to stopped VMs for %v", lost)
+			}
+		})
+	}
+}
+
+// TestTurnsEnd tells all of a domain to stop, or lets none hear of the others: each still
+// ends before it is killed, whatever is lost.
+func TestTurnsEnd(t *testing.T) {
+	t.Run("all of five at once", func(t *testing.T) {
+		domain(t, []time.Duration{time.Second, time.Second, time.Second, time.Second, time.Second}, false)
+	})
+	t.Run("none hears of the others", func(t *testing.T) {
+		domain(t, []time.Duration{time.Second, 1100 * ms, 1200 * ms}, true)
+	})
+}
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -15,7 +15,7 @@
 
 type (
 	// Input is a decoded datagram. It is a sealed interface: Report, Message, Told,
-	// Received or Asked.
+	// Received, Asked or Departed.
 	Input interface {
 		input()
 	}
@@ -47,6 +47,7 @@
 func (Told) input()     {}
 func (Received) input() {}
 func (Asked) input()    {}
+func (Departed) input() {}
 
 // EncodeBeat returns a heartbeat in wire form.
 func EncodeBeat(r Report) []byte {
@@ -109,6 +110,8 @@
 		return Received{From: vm}, sparconfig.CheckName(vm.Name)
 	case *Datagram_Query:
 		return decodeQuery(body.Query)
+	case *Datagram_Departure:
+		return decodeDeparture(body.Departure)
 	}
 	return nil, errors.New("no body")
 }
--- a/internal/peer/sparcontrol/notice.go
+++ b/internal/peer/sparcontrol/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
@@ -20,6 +21,11 @@
 		From sparconfig.VM
 	}
 
+	// Departed is a peer's word that it was told to stop.
+	Departed struct {
+		Departure sparleave.Departure
+	}
+
 	// Asked is a peer's question whether the settings here are more recent.
 	Asked struct {
 		Query sparsync.Query
@@ -72,3 +78,12 @@
 		From: vm, Synced: q.Synced, Age: time.Duration(q.Age) * time.Microsecond,
 	}}, vm.Check()
 }
+
+// EncodeDeparture returns a departure in wire form.
+func EncodeDeparture(d sparleave.Departure) []byte {
+	return marshal(&Datagram{Body: &Datagram_Departure{Departure: &Departure{From: d.From, Refusing: d.Refusing}}})
+}
+
+func decodeDeparture(d *Departure) (departed Departed, err error) {
+	return Departed{Departure: sparleave.Departure{From: d.From, Refusing: d.Refusing}}, sparconfig.CheckName(d.From)
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -17,6 +17,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
@@ -226,9 +228,9 @@
 			}
 		case <-stopping:
 			stopping = nil
-			vm.leave.Begin(vm.clock.now(), vm.wire.Grace)
-			vm.ready.Store(false)
+			vm.leave.Begin(vm.file.Name, vm.clock.now(), vm.wire.Grace)
 			vm.logLeaving()
+			vm.depart(vm.clock.now())
 		case <-threads.Done():
 			return nil
 		}
@@ -255,7 +257,28 @@
 	state := vm.sync.State()
 	vm.perform(vm.sync.Tick(now), now)
 	vm.register(now)
+	vm.depart(now)
 	vm.logState(state)
 	vm.logEvents()
 	vm.metrics.publish(vm)
 }
+
+// depart takes turns with the other VMs of the failure domain that were told to stop.
+func (vm *VM) depart(now time.Duration) {
+	siblings := vm.siblings()
+	refused := !vm.leave.Ready()
+	for _, d := range vm.leave.Tick(len(siblings)+1, now) {
+		for _, sibling := range siblings {
+			vm.tell(sibling, sparcontrol.EncodeDeparture(d))
+		}
+	}
+	if !vm.leave.Ready() && !refused {
+		vm.ready.Store(false)
+		vm.logRefusing()
+	}
+}
+
+// siblings returns the other VMs of this failure domain.
+func (vm *VM) siblings() []sparconfig.VM {
+	return slices.DeleteFunc(vm.others(), func(other sparconfig.VM) bool { return other.Domain != vm.file.Domain })
+}
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -242,6 +242,32 @@
 	eventually(t, "stopped", func() bool { _, ok := v.log.find("stop"); return ok })
 }
 
+// TestTurns tells both VMs of a failure domain to stop at once: the second takes packets
+// until the first has had time to come back.
+func TestTurns(t *testing.T) {
+	s := newSite(t)
+	s.grace = 6
+	first, second := s.start("vm-1"), s.start("vm-2")
+	for _, v := range []*vm{first, second} {
+		eventually(t, "both know each other", func() bool {
+			v.log.mu.Lock()
+			defer v.log.mu.Unlock()
+			return strings.Contains(v.log.text.String(), `"vms":2`)
+		})
+	}
+	first.stop()
+	second.stop()
+	eventually(t, "the first refuses", func() bool { return !first.ready() })
+	if !second.ready() {
+		t.Error("both refuse")
+	}
+	eventually(t, "the first stopped", func() bool { _, ok := first.log.find("stop"); return ok })
+	if !second.ready() {
+		t.Error("the second refuses while the first is away")
+	}
+	eventually(t, "the second refuses", func() bool { return !second.ready() })
+}
+
 func TestReload(t *testing.T) {
 	s := newSite(t)
 	v := s.start("vm-1")
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -168,10 +168,15 @@
 }
 
 func (vm *VM) logLeaving() {
-	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "for_ms": vm.leave.Bound().Milliseconds()}).Info("leaving")
+	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "siblings": len(vm.siblings()), "grace_s": vm.wire.Grace.Seconds()}).Info("leaving")
 	vm.note("leaving", "", "", 0)
 }
 
+func (vm *VM) logRefusing() {
+	vm.log.WithFields(logrus.Fields{"flows": vm.engine.Flows(), "waited_ms": vm.leave.Waited().Milliseconds()}).Info("refusing probes")
+	vm.note("refusing", "", "", 0)
+}
+
 func (vm *VM) logReload() {
 	vm.log.WithFields(logrus.Fields{"seeds": len(vm.file.Seeds), "grace_s": vm.wire.Grace.Seconds()}).Info("reload")
 	vm.note("reload", "", "", 0)
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -86,6 +86,8 @@
 		vm.perform(vm.sync.Heard(d.Notice, now), now)
 	case sparcontrol.Asked:
 		vm.perform(vm.sync.Asked(d.Query, now), now)
+	case sparcontrol.Departed:
+		vm.leave.Heard(d.Departure, now)
 	case sparcontrol.Received:
 		vm.sync.Confirmed(d.From, now)
 	default:
@@ -129,7 +131,7 @@
 	vm.logSettings(before, roster, source)
 	if !vm.synced {
 		vm.synced = true
-		vm.ready.Store(!vm.leave.Begun())
+		vm.ready.Store(vm.leave.Ready())
 		vm.logReady()
 		vm.engine.Fresh(true)
 		vm.release()
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -35,6 +35,7 @@
 		store string
 		up    *net.UDPConn
 		key   string // of the upstream in the store
+		grace int64  // seconds, of VMs started from now on
 	}
 
 	// vm is one running VM.
@@ -82,7 +83,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = up.Close() })
-	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up}
+	s := &site{t: t, fake: fake, store: strings.TrimPrefix(server.URL, "http://"), up: up, grace: 1}
 	s.route(3)
 	key, entry := sparfake.Entry(0x7f3a, "booking", "north", up.LocalAddr().String(), false, time.Now())
 	s.key = key
@@ -109,7 +110,7 @@
 func (s *site) start(name string, seeds ...string) *vm {
 	file := sparconfig.File{
 		Carrier: sparconfig.Cookie, Name: name, Domain: "north", Data: free(s.t), Control: free(s.t), Ready: free(s.t),
-		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: 1,
+		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: s.grace,
 	}
 	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &lines{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
 	running, err := sparentry.New(file, v.store, sparlog.New(v.log, "json", logrus.InfoLevel, sparlog.FlowBurst))
