--- a/internal/member/sparleave/leave.go
+++ b/internal/member/sparleave/leave.go
@@ -42,9 +42,15 @@
 	announceEvery = 100 * time.Millisecond
 	// listenFor is how long a VM hears others before it goes: two of their announcements.
 	listenFor = 2 * announceEvery
-	// returnAfter is how long a VM that has gone is waited for: its process's start, and
-	// the fabric's next probe.
-	returnAfter = 600*time.Millisecond + 2*probeEvery
+	// restart is how long a process takes to end, start and be ready.
+	restart = 600 * time.Millisecond
+	// returnAfter is how long a VM that has gone is waited for: its restart, and the
+	// fabric's next probe.
+	returnAfter = restart + 2*probeEvery
+	// maxWait is how long others are waited for at most: one turn, which is two probes,
+	// the quiet after them and a restart. Whoever told a VM to stop expects it to be out of
+	// the fabric soon.
+	maxWait = refusals*probeEvery + quiet + restart + listenFor
 	// endSlack is what is left of the grace when the process ends.
 	endSlack = 500 * time.Millisecond
 )
@@ -143,9 +149,9 @@
 	return byName && now-h.at < listenFor
 }
 
-// patience is how long others are waited for: the grace less what leaving takes then.
+// patience is how long others are waited for: a turn, or the grace less what leaving takes.
 func (l *Leave) patience() time.Duration {
-	return max(l.grace-refuseFor-endSlack, 0)
+	return max(min(maxWait, l.grace-refuseFor-endSlack), 0)
 }
 
 // Refused notes that a probe was told to send nothing here. Probes before that found a
