sparregistry, sparsync: shares prove themselves; entries of VMs gone for good are taken out

Two changes that met in the same files.

A share counted as complete only if the digests agreed, and after a start they often do not: first readings of seven pages hold entries of later revisions. Change: a share names the revision after which it holds every change, and the digest of what has not changed since; where both hold the same of that, it is complete, whatever else the receiver knows. Keys that changed after that revision and are absent are deleted, as by a reading; a whole reading is now the same with revision 0. Only where the base differs is everything pulled, at once. Tests: TestFreshPeerKnowsNoDeletions with six pasts of a follower (the page case failed before), TestChangesThatDoNotSuffice.

Change: the VM above a silent one takes its entry out after ten minutes, on condition that it is unchanged and while it hears others; whoever lives lists itself again. Ways weighed: a lease for each VM (renewals, and it lapses while its holder is suspended). Tests: TestReplacedVMsAreUnlisted, TestRemove, TestRemovedListingComesBack. sparentry/listing.go is split off settings.go.

sparleave: quiet counts from the probe that decides, not from the last one, which others than the fabric may send all the time (found by TestTurns of sparentry).

--- a/internal/member/sparleave/leave.go
+++ b/internal/member/sparleave/leave.go
@@ -73,7 +73,7 @@
 		refusedAt time.Duration // when it began to refuse
 		refused   int
 		first     time.Duration // refused probe
-		last      time.Duration // refused probe
+		leaves    time.Duration // the probe after which the fabric leaves, or 0
 		packetAt  time.Duration
 		told      time.Duration // last announcement
 		others    map[string]heard
@@ -164,7 +164,9 @@
 		l.first = now
 	}
 	l.refused++
-	l.last = now
+	if l.leaves == 0 && l.refused >= refusals && now-l.first >= probeSpan {
+		l.leaves = now
+	}
 }
 
 // Packet notes that the fabric has sent a packet.
@@ -181,6 +183,5 @@
 
 // left reports whether the fabric has stopped sending to this VM.
 func (l *Leave) left(now time.Duration) bool {
-	told := l.refused >= refusals && l.last-l.first >= probeSpan
-	return told && now-max(l.last, l.packetAt) >= quiet
+	return l.leaves > 0 && now-max(l.leaves, l.packetAt) >= quiet
 }
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -58,6 +58,9 @@
 	// controlRate is what a VM may spend on control, in bytes a second. A reader of
 	// settings that need more reads what has changed.
 	controlRate = 8000
+	// unlistAfter is how long a VM must have left notices unanswered before its entry is
+	// taken out: longer than a restart, a suspension, and a region's usual cut.
+	unlistAfter = 10 * time.Minute
 	// maxOrders is the number of orders of names kept: one for takeovers, and one for
 	// each VM that has read lately.
 	maxOrders = 8
@@ -75,7 +78,7 @@
 
 type (
 	// Output is something for the shell to do. It is a sealed interface: Read, Ask,
-	// Enquire, Notify or Confirm.
+	// Enquire, Notify, Confirm or Unlist.
 	Output interface {
 		output()
 	}
@@ -116,6 +119,12 @@
 		To sparconfig.VM
 	}
 
+	// Unlist asks to take the entry of a VM out of the platform, since it has been silent
+	// for long. A VM that lives lists itself again.
+	Unlist struct {
+		Name string
+	}
+
 	// Notice says that the settings of a VM at Revision were complete Age ago.
 	Notice struct {
 		From     sparconfig.VM
@@ -175,10 +184,11 @@
 	}
 
 	peer struct {
-		vm    sparconfig.VM
-		heard time.Duration
-		known bool // listed by the platform, otherwise only heard
-		open  int  // notices sent since it was heard last
+		vm      sparconfig.VM
+		heard   time.Duration
+		known   bool          // listed by the platform, otherwise only heard
+		open    int           // notices sent since it was heard last
+		unheard time.Duration // the first of them, or the last time that it was to be unlisted
 	}
 )
 
@@ -187,6 +197,7 @@
 func (Enquire) output() {}
 func (Notify) output()  {}
 func (Confirm) output() {}
+func (Unlist) output()  {}
 
 // New returns the state of the VM self. Settings must be in force everywhere within
 // bound of their acknowledgement.
@@ -294,19 +305,18 @@
 func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) { s.alive(vm, now) }
 
 // Pulled takes the outcome of an Ask, after the registry has merged what came. The
-// settings of the peer were complete at the time given, as held there; whole says that
-// everything came, so that the registry holds at least what the peer holds. Changes that
-// did not suffice are followed by everything.
-func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, there Held, whole bool, now time.Duration) []Output {
+// settings of the peer were complete at the time given; complete says that the registry
+// holds at least what the peer holds. Where changes did not suffice for that, everything
+// is asked for.
+func (s *Sync) Pulled(from sparconfig.VM, reader string, certain time.Duration, complete bool, now time.Duration) []Output {
 	s.alive(from, now)
 	s.pulling = false
-	if s.held.Digest == there.Digest || whole {
-		s.wanted = wanted{}
-		s.confirm(certain, mark{reader: reader})
-	} else if s.held.Revision < there.Revision {
+	if !complete {
 		s.pulling, s.pulledAt = true, now
 		return []Output{Ask{From: from}}
 	}
+	s.wanted = wanted{}
+	s.confirm(certain, mark{reader: reader})
 	return append(s.catchUp(now), s.tell(now)...)
 }
 
@@ -316,9 +326,8 @@
 	return s.catchUp(now)
 }
 
-// want asks a peer for settings that this VM lacks. Where changes alone did not
-// help it asks for everything. One pull is under way at a time, and none while the first
-// reading of the platform is likely to bring everything.
+// want asks a peer for settings that this VM lacks. One pull is under way at a time, and
+// none while the first reading of the platform is likely to bring everything.
 func (s *Sync) want(n Notice, now time.Duration) []Output {
 	starting := !s.Synced() && (s.readBegan == 0 || s.busy && now-s.readBegan < startPatience)
 	if starting || s.pulling && now-s.pulledAt < pullEvery {
@@ -326,9 +335,8 @@
 		s.missed = n
 		return nil
 	}
-	again := n.Digest == s.wanted.digest
 	after := s.held.Revision
-	if again || n.Revision == s.held.Revision || !s.Synced() {
+	if !s.Synced() {
 		after = 0
 	}
 	s.wanted = wanted{
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -28,11 +28,29 @@
 	for _, name := range s.below(order, slices.Index(order, s.self.Name)) {
 		p := s.peers[name]
 		p.open++
+		if p.open == 1 {
+			p.unheard = now
+		}
 		outs = append(outs, Notify{To: p.vm, Notice: notice})
+		if p.open >= deadAfter && now-p.unheard >= unlistAfter && s.connected(now) {
+			p.unheard = now // again after as long, should it fail
+			outs = append(outs, Unlist{Name: name})
+		}
 	}
 	return outs
 }
 
+// connected reports whether any other VM was heard lately. A VM that hears nobody is cut
+// off itself, and its silence says nothing about the others.
+func (s *Sync) connected(now time.Duration) bool {
+	for _, p := range s.peers {
+		if p.heard > 0 && now-p.heard < aliveFor {
+			return true
+		}
+	}
+	return false
+}
+
 // notice says how recent the settings here are.
 func (s *Sync) notice(now time.Duration) Notice {
 	return Notice{
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -172,18 +172,17 @@
 	}
 }
 
-// FromShare returns the reply to a pull, for the caller to add the age of the settings.
+// FromShare returns the reply to a pull, for the caller to add what it knows beyond it.
 func FromShare(s sparregistry.Share) *PullReply {
 	return &PullReply{
-		Entries: fromEntries(s.Entries), Revision: s.Revision, Digest: s.Digest, Synced: s.Synced, Whole: s.Whole,
+		After: s.After, Entries: fromEntries(s.Entries), Base: s.Base, Revision: s.Revision, Synced: s.Synced,
 	}
 }
 
 // ToShare returns what the peer has shared.
 func (r *PullReply) ToShare() sparregistry.Share {
 	return sparregistry.Share{
-		Entries: toEntries(r.Entries), Revision: r.Revision, Digest: r.Digest,
-		Synced: r.Synced, Whole: r.Whole,
+		After: r.After, Entries: toEntries(r.Entries), Base: r.Base, Revision: r.Revision, Synced: r.Synced,
 	}
 }
 
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -38,13 +38,14 @@
 		synced   bool
 	}
 
-	// Share is what a VM hands to a peer of its registry.
+	// Share is what a VM hands to a peer of its registry: every live entry that has
+	// changed after a revision, and the deletions that it knows of since.
 	Share struct {
+		After    uint64 // 0 for everything
 		Entries  []Entry
+		Base     uint64 // digest of the live entries that have not changed after After
 		Revision uint64 // at which the registry is complete
-		Digest   uint64 // of the registry
 		Synced   bool   // it holds a whole reading
-		Whole    bool   // Entries is everything: keys that are absent are deleted
 	}
 )
 
@@ -69,12 +70,9 @@
 // Share returns what a peer lacks that is complete at a revision, 0 where it knows nothing
 // and gets everything.
 func (r Registry) Share(after uint64) Share {
-	s := Share{
-		Entries: []Entry{}, Revision: r.revision, Digest: r.digest, Synced: r.synced,
-		Whole: r.synced && after == 0,
-	}
+	s := Share{After: after, Entries: []Entry{}, Base: r.base(after), Revision: r.revision, Synced: r.synced}
 	for _, e := range r.entries {
-		if s.Whole && !e.Deleted || !s.Whole && e.Revision > after {
+		if e.Revision > after {
 			s.Entries = append(s.Entries, e)
 		}
 	}
@@ -82,6 +80,17 @@
 	return s
 }
 
+// base returns the digest of the live entries that have not changed after a revision.
+func (r Registry) base(after uint64) uint64 {
+	sum := uint64(0)
+	for _, e := range r.entries {
+		if e.Revision <= after {
+			sum ^= digest(e)
+		}
+	}
+	return sum
+}
+
 // Revision returns the platform revision at which r is complete.
 func (r Registry) Revision() uint64 { return r.revision }
 
@@ -124,6 +133,15 @@
 // revision: an old reading loses. A reading of several pages may hold entries of later
 // revisions and lack others, so it counts as complete at revision alone.
 func (r Registry) Reading(entries []Entry, revision uint64) Registry {
+	next := r.replace(entries, 0, revision)
+	next.revision = max(r.revision, revision)
+	next.synced = true
+	return next
+}
+
+// replace returns r merged with all entries that have changed after one revision as of
+// another. Keys with such a change that are not among them are deleted.
+func (r Registry) replace(entries []Entry, after, revision uint64) Registry {
 	next := r.merge(entries)
 	present := map[string]bool{}
 	for _, e := range entries {
@@ -131,14 +149,11 @@
 	}
 	var gone []Entry
 	for key, e := range next.entries {
-		if !e.Deleted && !present[key] && e.Revision < revision {
+		if !e.Deleted && !present[key] && e.Revision > after && e.Revision < revision {
 			gone = append(gone, Entry{Key: key, Revision: revision, Deleted: true})
 		}
 	}
-	next = next.merge(gone)
-	next.revision = max(r.revision, revision)
-	next.synced = true
-	return next
+	return next.merge(gone)
 }
 
 // WithChanges returns r merged with the changes after a revision at which r is complete.
@@ -161,20 +176,18 @@
 	return next, true
 }
 
-// WithShare returns r merged with what a peer has shared. Changes need not hold every
-// deletion: a peer that has started lately never knew some of the keys. Only equal digests
-// show that none is missing; where they differ, r takes the entries but counts as complete
-// at its own revision still.
-func (r Registry) WithShare(s Share) Registry {
-	if s.Whole {
-		return r.Reading(s.Entries, s.Revision)
+// WithShare returns r merged with what a peer has shared. A peer that has started lately
+// never held some of the keys that were deleted, and cannot tell. So it is compared what
+// both hold of older changes: where that differs a deletion is missing, and the result
+// counts as complete at r's own revision still, which is reported.
+func (r Registry) WithShare(s Share) (next Registry, complete bool) {
+	next = r.replace(s.Entries, s.After, s.Revision)
+	if !s.Synced || next.base(s.After) != s.Base {
+		return next, false
 	}
-	next := r.merge(s.Entries)
-	if next.digest == s.Digest {
-		next.revision = max(r.revision, s.Revision)
-	}
-	next.synced = r.synced || s.Synced
-	return next
+	next.revision = max(r.revision, s.Revision)
+	next.synced = true
+	return next, true
 }
 
 func cloneEntries(entries map[string]Entry) map[string]Entry {
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -51,6 +51,9 @@
 	// pullRing is the number of pulls that wait: one is under way at a time, and one
 	// that is given up may be followed before its end is known.
 	pullRing = 16
+	// writeRing is the number of writes that wait: the listing of this VM, and as many
+	// removals as the tree has VMs below one.
+	writeRing = 8
 
 	// socketQueue is the kernel's queue of a socket in bytes: the packets of a ring at
 	// their usual size.
@@ -73,6 +76,8 @@
 		// Put writes an entry that is still at its revision, 0 meaning absent, and
 		// returns it as written.
 		Put(ctx context.Context, e sparregistry.Entry) (sparregistry.Entry, error)
+		// Remove takes an entry away that is still at its revision.
+		Remove(ctx context.Context, e sparregistry.Entry) error
 		// Calls returns the number of calls made so far.
 		Calls() uint64
 	}
@@ -95,7 +100,7 @@
 		asks    *sparring.Questions[*VM]
 		pulls   *sparring.Ring[pull]
 		reads   *sparring.Ring[order]
-		writes  *sparring.Ring[sparregistry.Entry]
+		writes  *sparring.Ring[write]
 		buffers sync.Pool
 		ready   atomic.Bool
 
@@ -114,13 +119,6 @@
 		age       time.Duration
 		leave     sparleave.Leave
 	}
-
-	// listing is the entry that this VM keeps in the platform.
-	listing struct {
-		busy bool
-		at   time.Duration      // last try
-		held sparregistry.Entry // as last written
-	}
 )
 
 // New opens the sockets of the VM.
@@ -138,7 +136,7 @@
 		file: file, log: log.WithField("vm", file.Name), store: store, began: time.Now(),
 		packets: sparring.New[*packet](packetRing), inputs: sparring.New[input](inputRing),
 		asks: sparring.NewQuestions[*VM](askRing), pulls: sparring.New[pull](pullRing),
-		reads: sparring.New[order](1), writes: sparring.New[sparregistry.Entry](1),
+		reads: sparring.New[order](1), writes: sparring.New[write](writeRing),
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), wire.Force), wire: wire,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -143,6 +143,19 @@
 	vm.log.WithFields(logrus.Fields{"cause": shortError(err)}).Warn("listing this VM failed, tried again")
 }
 
+func (vm *VM) logUnlist(name string, revision uint64) {
+	vm.log.WithFields(logrus.Fields{"silent": name, "revision": revision, "age_ms": vm.age.Milliseconds()}).Warn("VM silent for long, its entry is taken out")
+	vm.note("unlisted", "", name, 0)
+}
+
+func (vm *VM) logUnlisted(key string, err error) {
+	fields := logrus.Fields{"key": key, "outcome": "done"}
+	if err != nil {
+		fields["outcome"] = shortError(err)
+	}
+	vm.log.WithFields(fields).Info("entry taken out")
+}
+
 func (vm *VM) logBrokenReading(after uint64, c changes) {
 	vm.log.WithFields(logrus.Fields{
 		"after": after, "reached": c.reached, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -8,13 +8,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
-	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
-// listEvery is the least time between two tries to list this VM.
-const listEvery = time.Second
-
 type (
 	// input is what other threads tell the deciding one. It is a sealed interface.
 	input interface {
@@ -33,12 +29,6 @@
 		err   error
 	}
 
-	// wrote is the outcome of listing this VM.
-	wrote struct {
-		entry sparregistry.Entry
-		err   error
-	}
-
 	// probed says that the fabric was told to send nothing here.
 	probed struct{}
 
@@ -51,7 +41,6 @@
 
 func (heard) input()  {}
 func (pulled) input() {}
-func (wrote) input()  {}
 func (probed) input() {}
 
 // take acts on what another thread tells.
@@ -69,12 +58,7 @@
 	case probed:
 		vm.leave.Refused(now)
 	case wrote:
-		vm.listed.busy = false
-		if in.err != nil {
-			vm.logListFailed(in.err)
-			break
-		}
-		vm.listed.held = in.entry
+		vm.takeWrite(in)
 	}
 	vm.logState(state)
 	vm.logEvents()
@@ -107,9 +91,10 @@
 		vm.perform(vm.sync.PullFailed(now), now)
 		return
 	}
-	vm.adopt(vm.registry.WithShare(r.ToShare()), in.pull.ask.From.Name)
+	next, complete := vm.registry.WithShare(r.ToShare())
+	vm.adopt(next, in.pull.ask.From.Name)
 	certain := in.pull.began - time.Duration(r.Age)*time.Microsecond
-	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, sparsync.Held{Revision: r.Revision, Digest: r.Digest}, r.Whole, now), now)
+	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, complete, now), now)
 }
 
 func (vm *VM) held() sparsync.Held {
@@ -138,27 +123,6 @@
 	}
 }
 
-// register lists this VM in the platform where the settings lack it. What it writes
-// comes back with the next reading: taken over at once, it would make the registry
-// look complete at a revision whose other changes it has not seen.
-func (vm *VM) register(now time.Duration) {
-	if !vm.synced || vm.listed.busy || vm.sync.Failing() || vm.leave.Begun() ||
-		vm.listed.at > 0 && now-vm.listed.at < listEvery || vm.registry.Revision() < vm.listed.held.Revision {
-		return
-	}
-	key := sparroster.VMPrefix + vm.file.Name
-	expected := uint64(0)
-	text := vm.file.VM().Text()
-	if held, ok := vm.registry.Get(key); ok {
-		if string(held.Value) == string(text) {
-			return
-		}
-		expected = held.Revision
-	}
-	vm.listed.busy, vm.listed.at = true, now
-	vm.writes.Put(sparregistry.Entry{Key: key, Value: text, Revision: expected})
-}
-
 // perform does what the settings need.
 func (vm *VM) perform(outs []sparsync.Output, now time.Duration) {
 	for _, out := range outs {
@@ -171,25 +135,14 @@
 			vm.tell(out.To, sparcontrol.EncodeQuery(out.Query))
 		case sparsync.Notify:
 			vm.tell(out.To, sparcontrol.EncodeNotice(out.Notice))
+		case sparsync.Unlist:
+			vm.unlist(out.Name)
 		case sparsync.Confirm:
 			vm.tell(out.To, sparcontrol.EncodeReceipt(vm.file.VM()))
 		}
 	}
 }
 
-// registrar is the thread that lists this VM in the platform.
-func (vm *VM) registrar(ctx context.Context) error {
-	for {
-		select {
-		case e := <-vm.writes.Out():
-			entry, err := vm.store.Put(ctx, e)
-			vm.post(ctx, wrote{entry: entry, err: err})
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // post hands an input that must not be lost to the deciding thread.
 func (vm *VM) post(ctx context.Context, in input) {
 	for !vm.inputs.Put(in) {
--- a/internal/vm/sparnode/settings.go
+++ b/internal/vm/sparnode/settings.go
@@ -12,8 +12,12 @@
 	n.adopt(n.registry.Reading(entries, revision))
 }
 
-// Merge merges what a peer sent.
-func (n *Node) Merge(s sparregistry.Share) { n.adopt(n.registry.WithShare(s)) }
+// Merge merges what a peer sent. Where that does not suffice the digests go on to differ,
+// and everything is pulled next.
+func (n *Node) Merge(s sparregistry.Share) {
+	next, _ := n.registry.WithShare(s)
+	n.adopt(next)
+}
 
 func (n *Node) adopt(next sparregistry.Registry) {
 	changed := next.Digest() != n.registry.Digest()
