sparcookie: requests that callers give up unanswered count against their upstream

Cause: upstreams that answer openings and leave half of their requests. Ruled out: health, which such an upstream keeps by its other answers; a timer over waiting requests, since callers acknowledge a short answer only with their next packet. Change: a flow that its caller ends while a request waits counts as eight open ones at its upstream, decaying over 5 s, and gets a log line. No upstream is taken out by it.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -76,6 +76,7 @@
 		flows   int           // open ones that pass this VM
 		recent  rate          // requests of late, over recentSpan
 		pace    rate          // the same over paceSpan
+		lost    rate          // requests that callers gave up unanswered, over lostSpan
 		heard   time.Duration // last sign that a packet of it reached a caller
 		pending time.Duration // first opening sent since then, 0 where all were answered
 		strikes int           // flows that have repeated a packet in vain since then
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -14,6 +14,9 @@
 	// paceSpan is the time over which the pace of requests is taken: long enough that
 	// chance does not look like load, short beside a burst of seconds.
 	paceSpan = 500 * time.Millisecond
+	// lostSpan is the time over which a lost request counts against its upstream: some
+	// times as long as callers wait, so that their next requests go elsewhere.
+	lostSpan = 5 * time.Second
 )
 
 type (
@@ -39,8 +42,8 @@
 
 	// sight is what one packet shows.
 	sight struct {
-		answered, first, repeated bool
-		waited                    time.Duration
+		answered, first, repeated, lost bool
+		waited                          time.Duration
 	}
 
 	// rate is a count of requests that decays over a span.
@@ -99,6 +102,19 @@
 	}
 }
 
+// giveUp notes that a caller ends its flow, and reports how long a request has waited
+// that was given up unanswered. The flow's end would make its upstream look less loaded
+// than those that answer.
+func (e *Engine) giveUp(f *flow) (waited time.Duration, lost bool) {
+	waited = e.now - f.asked
+	if f.asked == 0 || waited < copyAfter {
+		return 0, false
+	}
+	f.asked = 0
+	f.upstream.lost.add(e.now, lostSpan)
+	return waited, true
+}
+
 // progress notes that a packet of the upstream has reached the caller.
 func (e *Engine) progress(f *flow) {
 	f.moved = e.now
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -111,6 +111,9 @@
 	}
 	seen := e.observe(f, s)
 	if s.Kind == Finishing || s.Kind == Resetting {
+		if waited, lost := e.giveUp(f); lost {
+			seen.lost, seen.waited = true, waited
+		}
 		e.close(f)
 	}
 	if seen.repeated && e.certainlyGone(u, f) {
@@ -124,7 +127,7 @@
 	} else {
 		v = e.send(Carried, u)
 	}
-	v.Answered, v.First, v.Unanswered, v.Waited = seen.answered, seen.first, seen.repeated, seen.waited
+	v.Answered, v.First, v.Unanswered, v.Lost, v.Waited = seen.answered, seen.first, seen.repeated, seen.lost, seen.waited
 	return v
 }
 
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -14,6 +14,9 @@
 	// spillAt is the share of the slots of a failure domain at work from which on
 	// upstreams of other domains are weighed too. Beyond it requests begin to queue.
 	spillAt = 0.75
+	// lostWeight is what a lost request counts for beside those that are open: as many
+	// as an upstream lets wait, since nothing tells whether it has room for them.
+	lostWeight = 8
 	// typicalWork is what a request occupies a slot for, in today's services.
 	typicalWork = 20 * time.Millisecond
 )
@@ -129,7 +132,7 @@
 // score is the load of an upstream for each request that it can work on at once.
 // The fraction from the flow's rank spreads equal ones over VMs.
 func (e *Engine) score(u *upstream, key flowKey) float64 {
-	load := float64(u.flows) + 2*u.recent.value(e.now, recentSpan)
+	load := float64(u.flows) + 2*u.recent.value(e.now, recentSpan) + lostWeight*u.lost.value(e.now, lostSpan)
 	load += float64(sparrank.Weight(int(uint32(key.caller)), u.ID)>>40) / (1 << 24)
 	room := float64(u.Slots)
 	if e.now < u.warmed {
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -80,6 +80,7 @@
 		Answered   bool          // the packet acknowledges an answer
 		First      bool          // the one to the opening
 		Unanswered bool          // the packet repeats data that nothing has answered
+		Lost       bool          // the caller gives up a request that nothing has answered
 		Waited     time.Duration // since the request or opening was first seen
 	}
 
--- a/internal/route/sparcookie/versus_test.go
+++ b/internal/route/sparcookie/versus_test.go
@@ -56,6 +56,7 @@
 	simServer struct {
 		up      sparroster.Upstream
 		silent  bool
+		hangs   float64         // share of requests that it never answers
 		working []time.Duration // ends of the requests at work or waiting
 	}
 
@@ -67,6 +68,7 @@
 		copies    uint32
 		next      time.Duration // what it does next, and when
 		asking    bool
+		hung      bool          // the request will not be answered
 		began     time.Duration // of the request
 		sent      time.Duration
 		answer    time.Duration // when the answer arrives, or 0
@@ -158,7 +160,7 @@
 	switch {
 	case !c.asking && s.now >= c.next:
 		s.asked++
-		c.asking, c.began, c.answer = true, s.now, 0
+		c.asking, c.began, c.answer, c.hung = true, s.now, 0, false
 		if c.open {
 			s.ask(c)
 			return
@@ -166,6 +168,11 @@
 		s.fresh(c)
 	case c.asking && s.now-c.began >= simDeadline:
 		s.failed++
+		if c.open {
+			last := c.s
+			last.Kind = sparcookie.Finishing
+			s.send(c, last)
+		}
 		s.end(c)
 		c.open = false
 	case c.asking && !c.open && c.handshake > 0 && s.now >= c.handshake:
@@ -186,7 +193,7 @@
 			c.open = false
 		}
 		s.end(c)
-	case c.asking && c.open && s.now-c.sent >= again:
+	case c.asking && c.open && !c.hung && s.now-c.sent >= again:
 		s.ask(c)
 	}
 }
@@ -228,7 +235,11 @@
 		s.moved++
 	}
 	server := s.servers[v.ID]
-	if server == nil || server.silent || c.answer > 0 {
+	if server == nil || server.silent || c.answer > 0 || c.hung {
+		return
+	}
+	if server.hangs > s.r.Float64() {
+		c.hung = true
 		return
 	}
 	if n := len(server.working); n >= server.up.Slots+simQueue {
@@ -275,6 +286,11 @@
 			s.servers[1].silent, s.servers[2].silent = false, false
 			s.run(4 * time.Second)
 		}, 0.5},
+		{"a third answers openings and leaves half of its requests", func(s *sim) {
+			s.run(3 * time.Second)
+			s.servers[1].hangs, s.servers[2].hangs = 0.5, 0.5
+			s.run(8 * time.Second)
+		}, 0.5},
 		{"servers are replaced one after the other", func(s *sim) {
 			for id := uint64(1); id <= 3; id++ {
 				s.servers[id+10] = &simServer{up: upstream(id+10, "north")}
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -18,10 +18,14 @@
 		vm.metrics.answered(v.First, v.Waited)
 	}
 	quiet := v.Cause == sparcookie.Carried || v.Cause == sparcookie.Relayed
-	if quiet && !v.Unanswered {
+	if quiet && !v.Unanswered && !v.Lost {
 		return
 	}
 	fields := vm.flowFields(s, v)
+	if v.Lost {
+		vm.log.WithFields(fields).Info("request given up")
+		return
+	}
 	switch v.Cause {
 	case sparcookie.Carried, sparcookie.Assisted:
 		if v.Helper != 0 {
