sparentry: every VM says that the platform is back, also through the VM that reads it

Ruled out: lost lines. Change: recent settings end the loss, with the VM that read them in the line; status goes on to tell of this VM's own last call alone. Test: TestPlatformRegainedThroughAPeer, which failed before.

--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -116,6 +116,7 @@
 		early     []*packet // held until the first settings
 		synced    bool
 		reachable bool // the platform answered this VM last
+		lost      bool // it did not, and nobody has told newer settings since
 		age       time.Duration
 		leave     sparleave.Leave
 	}
@@ -254,6 +255,9 @@
 	vm.engine.Tick()
 	state := vm.sync.State()
 	vm.perform(vm.sync.Tick(now), now)
+	if vm.sync.Fresh(now) {
+		vm.regain(vm.sync.Reader())
+	}
 	vm.register(now)
 	vm.depart(now)
 	vm.logState(state)
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -157,6 +157,21 @@
 	eventually(t, "a line for the regained dependency", func() bool { _, ok := second.log.find("dependency regained"); return ok })
 }
 
+// TestPlatformRegainedThroughAPeer starts a VM that does not reach the platform. It says so,
+// and that another VM tells it what the platform holds.
+func TestPlatformRegainedThroughAPeer(t *testing.T) {
+	s := newSite(t)
+	first := s.start("vm-1")
+	eventually(t, "ready", first.ready)
+	s.store = free(t) // nobody answers there
+	second := s.start("vm-2", first.file.Control)
+	eventually(t, "a line for the lost dependency", func() bool { _, ok := second.log.find("dependency lost"); return ok })
+	eventually(t, "a line for the regained dependency", func() bool {
+		fields, ok := second.log.find("dependency regained")
+		return ok && fields["through"] == "vm-1"
+	})
+}
+
 // TestLapsedEntriesAreKept takes an upstream's entry away while the platform is down.
 func TestLapsedEntriesAreKept(t *testing.T) {
 	s := newSite(t)
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -122,18 +122,33 @@
 	vm.note("settings-"+now, "", vm.sync.Reader(), 0)
 }
 
-// logStore writes when the platform is lost and regained, as seen from here.
+// logStore writes the outcome of a reading, where the platform was lost or regained by it.
 func (vm *VM) logStore(err error) {
-	reachable := err == nil
-	if err != nil {
-		vm.log.WithFields(logrus.Fields{"cause": shortError(err), "age_ms": vm.age.Milliseconds()}).Warn("platform call failed")
-	}
-	if reachable == vm.reachable {
+	vm.reachable = err == nil
+	if err == nil {
+		vm.regain(vm.file.Name)
 		return
 	}
-	vm.reachable = reachable
-	what := map[bool]string{true: "dependency regained", false: "dependency lost"}[reachable]
-	vm.log.WithFields(logrus.Fields{"dependency": "platform", "at": vm.file.Platform, "age_ms": vm.age.Milliseconds()}).Warn(what)
+	vm.log.WithFields(logrus.Fields{"cause": shortError(err), "age_ms": vm.age.Milliseconds()}).Warn("platform call failed")
+	if !vm.lost {
+		vm.lost = true
+		vm.logDependency("dependency lost", vm.file.Name)
+	}
+}
+
+// regain writes that the settings are those of the platform again, as the VM called
+// through has read them: this one, or the one that it hears from.
+func (vm *VM) regain(through string) {
+	if vm.lost {
+		vm.lost = false
+		vm.logDependency("dependency regained", through)
+	}
+}
+
+func (vm *VM) logDependency(what, through string) {
+	vm.log.WithFields(logrus.Fields{
+		"dependency": "platform", "at": vm.file.Platform, "through": through, "age_ms": vm.age.Milliseconds(),
+	}).Warn(what)
 	vm.note(what, "", "platform", 0)
 }
 
