sparcookie: an opening weighs the upstreams of its own failure domain first

Cause: every upstream of a service was weighed for each opening, 131 us at 709 of them, 0.8% of a core at the fleet's 49 openings a second and VM. Change: services keep their local upstreams apart; the others are looked at where the own ones are full, silent or none. Same choice as before. Figures (go test -bench Open): 709 of a service in 11 domains 131.7 to 17.2 us, 6 of a service 2.1 to 1.0 us. The fixture gave each service one domain alone, which hid the difference; it spreads them now. Tests of placement pass unchanged.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -48,9 +48,9 @@
 		paths     map[sparflow.Endpoint]*path
 		upstreams map[uint64]*upstream
 		cookies   map[Cookie]*upstream
-		services  map[string][]*upstream // in the roster, by id
-		siblings  int                    // VMs of this failure domain, this one included
-		helpers   []helper               // other VMs
+		services  map[string]*members // in the roster
+		siblings  int                 // VMs of this failure domain, this one included
+		helpers   []helper            // other VMs
 		flows     map[flowKey]*flow
 		maxFlows  int
 		swept     time.Duration
@@ -66,6 +66,12 @@
 		services map[string]bool // every service that the route ever listed here
 	}
 
+	// members is the upstreams of a service, by id.
+	members struct {
+		local []*upstream // of the failure domain of this VM
+		all   []*upstream
+	}
+
 	// upstream is a server with what this VM has seen of it.
 	upstream struct {
 		sparroster.Upstream
@@ -91,7 +97,7 @@
 	return &Engine{
 		name: name, domain: domain, maxFlows: maxFlows,
 		paths: map[sparflow.Endpoint]*path{}, upstreams: map[uint64]*upstream{},
-		cookies: map[Cookie]*upstream{}, services: map[string][]*upstream{}, flows: map[flowKey]*flow{},
+		cookies: map[Cookie]*upstream{}, services: map[string]*members{}, flows: map[flowKey]*flow{},
 	}
 }
 
@@ -148,7 +154,7 @@
 		if one.Warm == 0 {
 			u.warmed = 0
 		}
-		e.services[one.Service] = append(e.services[one.Service], u)
+		e.member(u)
 	}
 	for id, u := range e.upstreams {
 		if !listed[id] && !u.gone {
@@ -158,6 +164,19 @@
 	}
 }
 
+// member adds an upstream to those of its service.
+func (e *Engine) member(u *upstream) {
+	m := e.services[u.Service]
+	if m == nil {
+		m = &members{}
+		e.services[u.Service] = m
+	}
+	m.all = append(m.all, u)
+	if u.Domain == e.domain {
+		m.local = append(m.local, u)
+	}
+}
+
 // join starts the record of an upstream that is new or was started again. Flows of
 // its earlier life count no more.
 func (e *Engine) join(before *upstream, one sparroster.Upstream) *upstream {
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -68,13 +68,37 @@
 	return ""
 }
 
-// best returns the least loaded upstream of the best tier of a service.
+// best returns the least loaded upstream of the best tier of a service. Those of other
+// failure domains are looked at only where the own ones do not suffice.
 func (e *Engine) best(service string, key flowKey, avoid *upstream) *upstream {
-	var best *upstream
+	m := e.services[service]
+	if m == nil {
+		return nil
+	}
+	full := e.domainFull(m.local)
+	if !full {
+		if u, t := e.bestOf(m.local, key, avoid, false); t == tierLocal {
+			return e.place(u)
+		}
+	}
+	u, _ := e.bestOf(m.all, key, avoid, full)
+	return e.place(u)
+}
+
+// place notes that an opening goes to u, which may be nil.
+func (e *Engine) place(u *upstream) *upstream {
+	if u != nil {
+		u.placed = e.now
+	}
+	return u
+}
+
+// bestOf returns the least loaded upstream of the best tier, and that tier. Where the own
+// failure domain is full the others are as good.
+func (e *Engine) bestOf(upstreams []*upstream, key flowKey, avoid *upstream, full bool) (best *upstream, bestTier tier) {
 	var bestScore float64
-	bestTier := tierNone
-	full := e.domainFull(service)
-	for _, u := range e.services[service] {
+	bestTier = tierNone
+	for _, u := range upstreams {
 		e.expect(u)
 		t := e.tierOf(u)
 		if u == avoid || t == tierNone {
@@ -88,10 +112,7 @@
 			best, bestScore, bestTier = u, score, t
 		}
 	}
-	if best != nil {
-		best.placed = e.now
-	}
-	return best
+	return best, bestTier
 }
 
 // expect takes an upstream out whose answer to an opening is overdue. Any answer to
@@ -117,9 +138,9 @@
 
 // domainFull reports whether the upstreams of this failure domain have little room
 // left. The other VMs of the domain are taken to pass as many requests as this one.
-func (e *Engine) domainFull(service string) bool {
+func (e *Engine) domainFull(local []*upstream) bool {
 	requests, slots := 0.0, 0
-	for _, u := range e.services[service] {
+	for _, u := range local {
 		if e.tierOf(u) == tierLocal {
 			requests += u.pace.value(e.now, paceSpan)
 			slots += u.Slots
--- a/internal/route/sparcookie/slope_test.go
+++ b/internal/route/sparcookie/slope_test.go
@@ -17,10 +17,11 @@
 
 // fleet is a fixture with upstreams and routes of a size.
 func fleet(upstreams, routes int) *fixture {
-	f := &fixture{t: &testing.T{}, engine: sparcookie.New("vm-1", "north", 1<<20), now: time.Second}
+	f := &fixture{t: &testing.T{}, engine: sparcookie.New("vm-1", "domain-0", 1<<20), now: time.Second}
 	for n := range upstreams {
-		u := upstream(uint64(n+1), fmt.Sprintf("domain-%d", n%11))
-		u.Service = fmt.Sprintf("service-%d", n%(routes/2+1))
+		services := routes/2 + 1
+		u := upstream(uint64(n+1), fmt.Sprintf("domain-%d", n/services%11))
+		u.Service = fmt.Sprintf("service-%d", n%services)
 		f.upstreams = append(f.upstreams, u)
 	}
 	for n := range routes {
