sparsync: a first reading that goes on is waited for

Change: the patience of a VM that starts counts from the last page of its reading. A stalled reading is helped out of by peers as before. Test: TestSlowFirstReading, which failed before (a pull beside a reading that goes on).

--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -9,7 +9,7 @@
 func (s *Sync) Tick(now time.Duration) []Output {
 	var outs []Output
 	if s.readDue(now) {
-		s.busy, s.readBegan = true, now
+		s.busy, s.readMoved = true, now
 		outs = append(outs, s.read(now))
 	}
 	return append(outs, s.asks(now)...)
@@ -65,10 +65,14 @@
 	return s.tell(now)
 }
 
+// ReadMoved notes that a reading has brought a part of what it will bring. All VMs that
+// start at once share the platform's link, so that whole readings take seconds.
+func (s *Sync) ReadMoved(now time.Duration) { s.readMoved = now }
+
 // ReadBroken takes a reading of changes that left some out, so that it proves nothing.
 // Everything is read in its place, and counts from then on.
 func (s *Sync) ReadBroken(now time.Duration) []Output {
-	s.readBegan = now
+	s.readMoved = now
 	return []Output{Read{}}
 }
 
@@ -111,7 +115,7 @@
 // asks asks some peers in turn while the settings here are old: one that was heard
 // lately, one of the same failure domain, which a cut leaves in reach, and any one.
 func (s *Sync) asks(now time.Duration) []Output {
-	if s.missed.Reader != "" && !s.Synced() && s.busy && now-s.readBegan >= startPatience {
+	if s.missed.Reader != "" && !s.Synced() && s.busy && now-s.readMoved >= startPatience {
 		return s.catchUp(now)
 	}
 	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -50,8 +50,8 @@
 	askEvery   = 200 * time.Millisecond
 	// pullEvery is how long a pull is waited for before the next is begun.
 	pullEvery = 250 * time.Millisecond
-	// startPatience is how long a VM that starts waits for its first reading before it
-	// asks peers for everything: many times the usual answer of the platform.
+	// startPatience is how long a VM that starts waits for more of its first reading before
+	// it asks peers for everything: many times the usual answer of the platform.
 	startPatience = 300 * time.Millisecond
 	// aliveFor is how long a peer counts as reachable after it was last heard.
 	aliveFor = 6 * time.Second
@@ -152,10 +152,10 @@
 		seeds   []*peer
 		orders  map[int][]string // of names, by slot
 
-		source    mark   // whose reading the settings follow
-		rounds    uint64 // readings of this VM
-		busy      bool   // a reading is under way
-		readBegan time.Duration
+		source    mark          // whose reading the settings follow
+		rounds    uint64        // readings of this VM
+		busy      bool          // a reading is under way
+		readMoved time.Duration // when the reading under way began or brought something
 		readAt    time.Duration
 		size      int // bytes of the last whole reading, 0 before the first
 		retry     time.Duration
@@ -329,7 +329,7 @@
 // want asks a peer for settings that this VM lacks. One pull is under way at a time, and
 // none while the first reading of the platform is likely to bring everything.
 func (s *Sync) want(n Notice, now time.Duration) []Output {
-	starting := !s.Synced() && (s.readBegan == 0 || s.busy && now-s.readBegan < startPatience)
+	starting := !s.Synced() && (s.readMoved == 0 || s.busy && now-s.readMoved < startPatience)
 	if starting || s.pulling && now-s.pulledAt < pullEvery {
 		n.Age -= now // the time at which it was complete, until it is taken up again
 		s.missed = n
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -385,3 +385,32 @@
 		}
 	}
 }
+
+// TestSlowFirstReading is the pattern of a whole fleet that starts at once: a first reading
+// takes seconds but goes on. Notices meanwhile pull nothing, until it stalls.
+func TestSlowFirstReading(t *testing.T) {
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	peer := sparconfig.VM{Name: "vm-2", Control: "10.0.0.2:1"}
+	s.Tick(1)
+	now := time.Duration(1)
+	pulls := func() (n int) {
+		outs := s.Heard(sparsync.Notice{From: peer, Reader: "vm-2", Round: 1, Revision: 9, Digest: 43}, now)
+		for _, out := range append(outs, s.Tick(now)...) {
+			if _, ok := out.(sparsync.Ask); ok {
+				n++
+			}
+		}
+		return n
+	}
+	for range 10 {
+		now += 250 * time.Millisecond
+		if got := pulls(); got > 0 {
+			t.Fatalf("%d pulls beside a reading that goes on", got)
+		}
+		s.ReadMoved(now)
+	}
+	now += 350 * time.Millisecond
+	if got := pulls(); got != 1 {
+		t.Errorf("%d pulls beside a reading that has stalled, want 1", got)
+	}
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -67,8 +67,8 @@
 type (
 	// Store is what a VM needs of the platform.
 	Store interface {
-		// List reads every key, linearizably.
-		List(ctx context.Context) (platform.Reading, error)
+		// List reads every key, linearizably, and calls moved as it goes on.
+		List(ctx context.Context, moved func()) (platform.Reading, error)
 		// Revision reads the revision of the platform, linearizably.
 		Revision(ctx context.Context) (uint64, error)
 		// Changes reads what has changed after a revision. Some may be missing.
--- a/internal/vm/sparentry/reading.go
+++ b/internal/vm/sparentry/reading.go
@@ -42,7 +42,11 @@
 	}
 )
 
+// moved says that the reading under way has brought a part.
+type moved struct{}
+
 func (read) input()    {}
+func (moved) input()   {}
 func (whole) found()   {}
 func (changes) found() {}
 
@@ -63,7 +67,9 @@
 // changes which the platform keeps back are noticed.
 func (vm *VM) readPlatform(ctx context.Context, after uint64) (f found, err error) {
 	if after == 0 {
-		reading, err := vm.store.List(ctx)
+		reading, err := vm.store.List(ctx, func() {
+			vm.inputs.Put(moved{}) // one that is lost makes this VM less patient
+		})
 		return whole{reading}, err
 	}
 	reached, err := vm.store.Revision(ctx)
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -55,6 +55,8 @@
 		vm.takeReading(in, now)
 	case pulled:
 		vm.takePull(in, now)
+	case moved:
+		vm.sync.ReadMoved(now)
 	case probed:
 		vm.leave.Refused(now)
 	case wrote:
