sparsoak: what VMs say they know is held against the store's history

Each 200 ms one VM is asked for its facts, as status asks; the upstreams that it names must be those of the store at the revision that it names, later changes and, after an outage, lapsed entries aside. TestSoak passes in 27 s.

--- a/internal/proof/sparsoak/process.go
+++ b/internal/proof/sparsoak/process.go
@@ -24,13 +24,14 @@
 
 // vm is one entry VM. Its process is started again after each end.
 type vm struct {
-	world *world
-	name  string
-	file  string // settings
-	data  netip.AddrPort
-	ready string
-	proxy *proxy
-	log   *os.File
+	world   *world
+	name    string
+	file    string // settings
+	data    netip.AddrPort
+	ready   string
+	control string
+	proxy   *proxy
+	log     *os.File
 
 	life   sync.Mutex // held while the process is ended and started again
 	mu     sync.Mutex
--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -73,6 +73,7 @@
 		Ran      int      `json:"ran"`
 		Openings int      `json:"openings"`
 		Calls    int      `json:"calls"` // to the store
+		Words    int      `json:"words"` // of status that were checked
 		Faults   []string `json:"faults"`
 		Broken   []Break  `json:"broken"`
 	}
@@ -105,6 +106,7 @@
 		wg.Go(func() { w.user(ctx, n) })
 	}
 	wg.Go(func() { w.tester(ctx) })
+	wg.Go(func() { w.statusAsker(ctx) })
 	w.harm(ctx)
 	w.heal()
 	sleep(ctx, recovery)
@@ -134,8 +136,8 @@
 // Text returns the report as lines.
 func (r Report) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d of %d requests served, %d resets, %d timeouts, %d openings, %d faults, %d broken promises\n",
-		r.Seed, r.Served, r.Requests, r.Resets, r.Timeouts, r.Openings, len(r.Faults), len(r.Broken))
+	fmt.Fprintf(&b, "seed %d: %d of %d requests served, %d resets, %d timeouts, %d openings, %d words of status, %d faults, %d broken promises\n",
+		r.Seed, r.Served, r.Requests, r.Resets, r.Timeouts, r.Openings, r.Words, len(r.Faults), len(r.Broken))
 	for _, one := range r.Broken {
 		fmt.Fprintf(&b, "  %7.3f %s: %s\n", one.At, one.Rule, one.Text)
 	}
--- a/internal/proof/sparsoak/soak_test.go
+++ b/internal/proof/sparsoak/soak_test.go
@@ -38,7 +38,7 @@
 			for _, b := range report.Broken {
 				t.Errorf("%.3f %s: %s", b.At, b.Rule, b.Text)
 			}
-			if report.Served == 0 || report.Openings == 0 {
+			if report.Served == 0 || report.Openings == 0 || report.Words == 0 {
 				t.Error("nothing was served, so nothing was checked")
 			}
 		})
--- a/internal/proof/sparsoak/world.go
+++ b/internal/proof/sparsoak/world.go
@@ -136,13 +136,13 @@
 		controls = append(controls, loopback(71, byte(n), w.control).String())
 	}
 	for n := range w.plan.VMs {
-		v := &vm{world: w, name: fmt.Sprintf("vm-%d", n), data: loopback(71, byte(n), w.port)}
+		v := &vm{world: w, name: fmt.Sprintf("vm-%d", n), data: loopback(71, byte(n), w.port), control: controls[n]}
 		v.ready = loopback(72, byte(n), w.port).String()
 		w.domains[v.data] = zoneOf(n)
 		if v.proxy, err = newProxy(strings.TrimPrefix(w.server.URL, "http://")); err != nil {
 			return errors.Trace(err)
 		}
-		text := v.settings(controls[n], v.proxy.address(), controls[:min(3, len(controls))])
+		text := v.settings(v.control, v.proxy.address(), controls[:min(3, len(controls))])
 		if err := v.writeSettings(w.dir, logs, text); err != nil {
 			return err
 		}
