--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -14,6 +14,9 @@
 	// deadAfter is the number of notices without an answer after which those below
 	// a VM in the tree are told in its place.
 	deadAfter = 3
+	// unlistAfter is how long a VM must have left notices unanswered before its entry is
+	// taken out: longer than a restart, a suspension, and a region's usual cut.
+	unlistAfter = 10 * time.Minute
 )
 
 // tell passes the latest round of the reader on to the VMs below this one, once.
