sparentry: leaving costs nothing before it begins; lost requests are counted

Reading the change as a newcomer: depart listed the siblings at each tick of 50 ms although nothing was leaving, a copy of the list of VMs each time. And requests that callers give up had a log line but no count: oleanderspar_lost_requests.

--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -111,6 +111,7 @@
 		return 0, false
 	}
 	f.asked = 0
+	e.stats.Lost++
 	f.upstream.lost.add(e.now, lostSpan)
 	return waited, true
 }
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -110,6 +110,7 @@
 	// Stats counts since the start.
 	Stats struct {
 		Verdicts [causes]uint64
+		Lost     uint64 // requests that callers gave up unanswered
 	}
 )
 
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -267,6 +267,9 @@
 
 // depart takes turns with the other VMs of the failure domain that were told to stop.
 func (vm *VM) depart(now time.Duration) {
+	if !vm.leave.Begun() {
+		return
+	}
 	siblings := vm.siblings()
 	refused := !vm.leave.Ready()
 	for _, d := range vm.leave.Tick(len(siblings)+1, now) {
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -67,6 +67,7 @@
 		}
 	}
 	m.last = stats
+	m.count("lost_requests", stats.Lost)
 }
 
 // count publishes a count that only rises.
