--- /dev/null
+++ b/internal/peer/sparcontrol/codec_test.go
@@ -0,0 +1,85 @@
+package sparcontrol_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+)
+
+// TestDatagrams sends what VMs of the cookie carrier tell each other there and back.
+func TestDatagrams(t *testing.T) {
+	vm := sparconfig.VM{Name: "vm-1", Domain: "north", Data: "10.1.0.1:1", Control: "10.1.0.1:2", State: sparconfig.Live}
+	notice := sparsync.Notice{From: vm, Reader: "vm-2", Round: 3, Revision: 4, Digest: 5, Age: 6 * time.Millisecond}
+	query := sparsync.Query{From: vm, Synced: true, Age: 7 * time.Millisecond}
+	departure := sparleave.Departure{From: "vm-1", Refusing: true}
+	tests := []struct {
+		name  string
+		bytes []byte
+		want  sparcontrol.Input
+	}{
+		{"notice", sparcontrol.EncodeNotice(notice), sparcontrol.Told{Notice: notice}},
+		{"query", sparcontrol.EncodeQuery(query), sparcontrol.Asked{Query: query}},
+		{"receipt", sparcontrol.EncodeReceipt(vm), sparcontrol.Received{From: sparconfig.VM{Name: "vm-1", State: sparconfig.Live}}},
+		{"departure", sparcontrol.EncodeDeparture(departure), sparcontrol.Departed{Departure: departure}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := sparcontrol.Decode(test.bytes)
+			if err != nil || !reflect.DeepEqual(got, test.want) {
+				t.Errorf("%+v, error %v, want %+v", got, err, test.want)
+			}
+		})
+	}
+}
+
+// TestNamelessDatagramsAreRefused decodes what no VM sends.
+func TestNamelessDatagramsAreRefused(t *testing.T) {
+	for name, bytes := range map[string][]byte{
+		"departure": sparcontrol.EncodeDeparture(sparleave.Departure{Refusing: true}),
+		"receipt":   sparcontrol.EncodeReceipt(sparconfig.VM{}),
+		"query":     sparcontrol.EncodeQuery(sparsync.Query{}),
+		"notice":    sparcontrol.EncodeNotice(sparsync.Notice{}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, err := sparcontrol.Decode(bytes); err == nil {
+				t.Errorf("%+v, want an error", got)
+			}
+		})
+	}
+}
+
+// TestShares sends what a VM shares with a peer there and back.
+func TestShares(t *testing.T) {
+	registry := sparregistry.Registry{}.Reading([]sparregistry.Entry{
+		{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("2"), Revision: 5},
+	}, 6).With(sparregistry.Entry{Key: "a", Revision: 7, Deleted: true})
+	for _, after := range []uint64{0, 4, 7} {
+		want := registry.Share(after)
+		bytes, err := proto.Marshal(sparcontrol.FromShare(want))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var reply sparcontrol.PullReply
+		if err := proto.Unmarshal(bytes, &reply); err != nil {
+			t.Fatal(err)
+		}
+		got := reply.ToShare()
+		follower, complete := sparregistry.Registry{}.Reading([]sparregistry.Entry{
+			{Key: "a", Value: []byte("1"), Revision: 3},
+		}, 4).WithShare(got)
+		if got.Base != want.Base || got.After != after || got.Revision != want.Revision || len(got.Entries) != len(want.Entries) {
+			t.Errorf("after %d: %+v, want %+v", after, got, want)
+		}
+		if _, held := follower.Get("a"); after == 4 && (!complete || held || follower.Digest() != registry.Digest()) {
+			t.Errorf("after %d: complete: %v, the deleted key is held: %v", after, complete, held)
+		}
+	}
+}
