--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -139,6 +139,10 @@
 	return next
 }
 
+// WithSome returns r merged with entries beside which others may be missing. It counts as
+// complete at the revision that it had.
+func (r Registry) WithSome(entries []Entry) Registry { return r.merge(entries) }
+
 // replace returns r merged with all entries that have changed after one revision as of
 // another. Keys with such a change that are not among them are deleted.
 func (r Registry) replace(entries []Entry, after, revision uint64) Registry {
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/platform"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
@@ -180,11 +181,20 @@
 	s.fake.Fault(sparfake.Refuses)
 	eventually(t, "the outage is noticed", func() bool { _, ok := v.log.find("dependency lost"); return ok })
 	s.fake.Remove(s.key)
+	s.route(4)
 	s.fake.Fault(sparfake.Sound)
 	eventually(t, "the missing upstream is kept", func() bool {
 		_, ok := v.log.find("missing upstreams kept while the platform settles")
 		return ok
 	})
+	reached, err := v.store.Revision(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	facts, err := sparcontrol.Dial(v.file.Control, http.DefaultClient).Facts(t.Context(), &sparcontrol.FactsRequest{})
+	if err != nil || facts.Revision >= reached {
+		t.Errorf("claims revision %d with an upstream that has no entry at %d, error %v", facts.GetRevision(), reached, err)
+	}
 	v.send(opening(front))
 	s.receive()
 	eventually(t, "the upstream is taken for gone in the end", func() bool { _, ok := v.log.find("upstream left"); return ok })
--- a/internal/vm/sparentry/reading.go
+++ b/internal/vm/sparentry/reading.go
@@ -94,11 +94,7 @@
 	switch f := in.found.(type) {
 	case whole:
 		size = f.Bytes
-		entries := f.Entries
-		if vm.sync.Failing() || vm.sync.Settling(now) {
-			entries = vm.retain(entries)
-		}
-		vm.adopt(vm.registry.Reading(entries, f.Revision), "platform")
+		vm.adopt(vm.withReading(f, now), "platform")
 	case changes:
 		next, ok := vm.registry.WithChanges(f.Entries, f.Revisions, in.after, f.reached)
 		if !ok {
@@ -111,22 +107,29 @@
 	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
 }
 
-// retain adds the upstreams that a reading lacks. After an outage of the platform
-// their entries may have lapsed while they live.
-func (vm *VM) retain(entries []sparregistry.Entry) []sparregistry.Entry {
+// withReading returns the registry after a whole reading. After an outage of the platform
+// entries of upstreams may have lapsed while they live. They are kept for a while, and the
+// registry is then not what the platform holds: it counts as complete at the revision
+// that it had before, here and to the VMs that hear of it.
+func (vm *VM) withReading(w whole, now time.Duration) sparregistry.Registry {
+	settling := vm.sync.Failing() || vm.sync.Settling(now)
+	if missing := vm.missing(w.Entries); settling && missing > 0 {
+		vm.logRetained(missing)
+		return vm.registry.WithSome(w.Entries)
+	}
+	return vm.registry.Reading(w.Entries, w.Revision)
+}
+
+// missing returns the number of upstreams that a reading lacks.
+func (vm *VM) missing(entries []sparregistry.Entry) (n int) {
 	present := map[string]bool{}
 	for _, e := range entries {
 		present[e.Key] = true
 	}
-	kept := 0
 	for _, e := range vm.registry.Under(sparroster.UpstreamPrefix) {
 		if !present[e.Key] {
-			entries = append(entries, e)
-			kept++
+			n++
 		}
 	}
-	if kept > 0 {
-		vm.logRetained(kept)
-	}
-	return entries
+	return n
 }
