--- a/internal/member/sparsync/peer.go
+++ b/internal/member/sparsync/peer.go
@@ -28,6 +28,9 @@
 	unheard time.Duration // the first of them, or the last time that it was to be unlisted
 }
 
+// alive reports whether the peer was heard lately.
+func (p *peer) alive(now time.Duration) bool { return p.heard > 0 && now-p.heard < aliveFor }
+
 // List takes the VMs that the settings name. Others are forgotten once they are silent.
 func (s *Sync) List(vms []sparconfig.VM, now time.Duration) {
 	for _, p := range s.peers {
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		all = append(all, p)
-		if p.heard > 0 && now-p.heard < aliveFor {
+		if p.alive(now) {
 			heard = append(heard, p)
 		}
 		if p.vm.Domain == s.self.Domain {
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -47,7 +47,7 @@
 // off itself, and its silence says nothing about the others.
 func (s *Sync) connected(now time.Duration) bool {
 	for _, p := range s.peers {
-		if p.heard > 0 && now-p.heard < aliveFor {
+		if p.alive(now) {
 			return true
 		}
 	}
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -67,6 +67,17 @@
 	return found
 }
 
+// Missing returns the number of live entries under prefix that are not among entries.
+func (r Registry) Missing(prefix string, entries []Entry) (n int) {
+	present := keys(entries)
+	for key, e := range r.entries {
+		if !e.Deleted && !present[key] && strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Share returns what a peer lacks that is complete at a revision, 0 where it knows nothing
 // and gets everything.
 func (r Registry) Share(after uint64) Share {
@@ -147,10 +158,7 @@
 // another. Keys with such a change that are not among them are deleted.
 func (r Registry) replace(entries []Entry, after, revision uint64) Registry {
 	next := r.merge(entries)
-	present := map[string]bool{}
-	for _, e := range entries {
-		present[e.Key] = true
-	}
+	present := keys(entries)
 	var gone []Entry
 	for key, e := range next.entries {
 		if !e.Deleted && !present[key] && e.Revision > after && e.Revision < revision {
@@ -194,6 +202,14 @@
 	return next, true
 }
 
+func keys(entries []Entry) map[string]bool {
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+	}
+	return present
+}
+
 func cloneEntries(entries map[string]Entry) map[string]Entry {
 	if entries == nil {
 		return map[string]Entry{}
--- a/internal/vm/sparentry/reading.go
+++ b/internal/vm/sparentry/reading.go
@@ -40,10 +40,10 @@
 		platform.Changes
 		reached uint64
 	}
-)
 
-// moved says that the reading under way has brought a part.
-type moved struct{}
+	// moved says that the reading under way has brought a part.
+	moved struct{}
+)
 
 func (read) input()    {}
 func (moved) input()   {}
@@ -113,23 +113,12 @@
 // that it had before, here and to the VMs that hear of it.
 func (vm *VM) withReading(w whole, now time.Duration) sparregistry.Registry {
 	settling := vm.sync.Failing() || vm.sync.Settling(now)
-	if missing := vm.missing(w.Entries); settling && missing > 0 {
+	if !settling {
+		return vm.registry.Reading(w.Entries, w.Revision)
+	}
+	if missing := vm.registry.Missing(sparroster.UpstreamPrefix, w.Entries); missing > 0 {
 		vm.logRetained(missing)
 		return vm.registry.WithSome(w.Entries)
 	}
 	return vm.registry.Reading(w.Entries, w.Revision)
 }
-
-// missing returns the number of upstreams that a reading lacks.
-func (vm *VM) missing(entries []sparregistry.Entry) (n int) {
-	present := map[string]bool{}
-	for _, e := range entries {
-		present[e.Key] = true
-	}
-	for _, e := range vm.registry.Under(sparroster.UpstreamPrefix) {
-		if !present[e.Key] {
-			n++
-		}
-	}
-	return n
-}
