--- a/internal/platform/sparkv/kv.go
+++ b/internal/platform/sparkv/kv.go
@@ -1,8 +1,8 @@
 // Package sparkv talks to the platform's key-value service.
 //
 // The service speaks the HTTP interface of the Consul KV store: compare-and-swap
-// by ModifyIndex, blocking queries as watches, sessions as leases. Each answer
-// belongs to the request on its connection; a call has a deadline of its own.
+// by ModifyIndex, blocking queries as watches, sessions as leases. Each call has a
+// connection and a deadline of its own.
 //
 //	client := sparkv.New("127.0.0.1:8500")
 //	reading, err := client.List(ctx, "", 0)
@@ -94,7 +94,9 @@
 				}
 				return conn, nil
 			},
-			MaxIdleConnsPerHost: 4,
+			// Answers name no call. On a connection in use again, a late copy of one would
+			// be taken for the answer to the next call, and a write for done.
+			DisableKeepAlives: true,
 		}},
 	}
 }
