sparsync: VMs that start get settings from peers, few of a fleet try a platform that is away

Ruled out: slow starts of processes (all 352 within 0.3 s), the readers' tree (fewer than 10 late rounds). Change: seeds read at once, others take fresh settings from a peer; two peers are handed everything at a time, encoded and compressed once, others are referred to one that has just got the same; takeovers double step by step, and while a VM is known that the platform does not answer, those beyond the first 16 in the order wait longer and try seldom; each VM begins its questions with another peer. A place among those served is given back at the end of the answer, whatever becomes of it, and answers have 5 s to be taken. Ages that would lie in the future and shares above 16 MB are refused. Requests that were accepted are answered before the process ends (TestAcceptedRequestsAreAnswered failed before: EOF). A decoder that panics spoils one entry (TestPanickingDecoder). Checks changed: TestAllStartAtOnce wanted every VM ready 100 ms after the start by a reading of its own and no pull from peers, which is the herd; TestFleetStarts stands in its place, at four sizes, with links that take time, a quarter of the calls and a bound on pulls served at once.

--- a/internal/member/sparsync/output.go
+++ b/internal/member/sparsync/output.go
@@ -33,9 +33,10 @@
 
 	// Query is a question for a notice.
 	Query struct {
-		From   sparconfig.VM
-		Synced bool
-		Age    time.Duration
+		From    sparconfig.VM
+		Synced  bool
+		Age     time.Duration
+		Outages []Outage // that the asker knows of
 	}
 
 	// Notify tells a peer how old the settings here are.
@@ -44,7 +45,7 @@
 		Notice Notice
 	}
 
-	// Confirm tells a peer that its notice arrived.
+	// Confirm tells a peer that its notice arrived, or that it is to ask again later.
 	Confirm struct {
 		To sparconfig.VM
 	}
@@ -55,7 +56,8 @@
 		Name string
 	}
 
-	// Notice says that the settings of a VM at Revision were complete Age ago.
+	// Notice says that the settings of a VM at Revision were complete Age ago. From is the
+	// VM to pull them from.
 	Notice struct {
 		From     sparconfig.VM
 		Reader   string // the VM that read the platform
--- a/internal/member/sparsync/peer.go
+++ b/internal/member/sparsync/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -51,16 +50,6 @@
 	}
 }
 
-// Seeds takes the control addresses to ask while no VM is known.
-func (s *Sync) Seeds(controls []string) {
-	s.seeds = nil
-	for _, control := range controls {
-		if control != s.self.Control {
-			s.seeds = append(s.seeds, &peer{vm: sparconfig.VM{Control: control}})
-		}
-	}
-}
-
 // alive notes that a peer was heard.
 func (s *Sync) alive(vm sparconfig.VM, now time.Duration) {
 	if vm.Name == "" || vm.Name == s.self.Name {
@@ -79,13 +68,21 @@
 	if names := s.orders[slot]; names != nil {
 		return names
 	}
-	weights := map[string]uint64{s.self.Name: sparrank.Weight(slot, sparrank.Name(s.self.Name))}
+	type ranked struct {
+		name   string
+		weight uint64
+	}
+	list := []ranked{{s.self.Name, sparrank.Weight(slot, sparrank.Name(s.self.Name))}}
 	for name := range s.peers {
-		weights[name] = sparrank.Weight(slot, sparrank.Name(name))
+		list = append(list, ranked{name, sparrank.Weight(slot, sparrank.Name(name))})
 	}
-	names := slices.SortedFunc(maps.Keys(weights), func(a, b string) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), strings.Compare(a, b))
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), strings.Compare(a.name, b.name))
 	})
+	names := make([]string, 0, len(list))
+	for _, r := range list {
+		names = append(names, r.name)
+	}
 	if len(s.orders) >= maxOrders {
 		clear(s.orders)
 	}
--- a/internal/member/sparsync/pull.go
+++ b/internal/member/sparsync/pull.go
@@ -1,13 +1,22 @@
 package sparsync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
 
-// pullEvery is how long a pull is waited for before the next is begun.
-const pullEvery = 250 * time.Millisecond
+const (
+	// changesPatience is how long a pull of changes is waited for before another is begun.
+	changesPatience = 250 * time.Millisecond
+	// wholePatience is the same for a pull of everything, which takes as many times longer
+	// on a slow link.
+	wholePatience = time.Second
+	// busyWait is how long a peer that serves others is left alone: about what one of them
+	// takes.
+	busyWait = 100 * time.Millisecond
+)
 
 // wanted is settings that a peer has and this VM lacks.
 type wanted struct {
@@ -24,12 +33,27 @@
 	s.alive(from, now)
 	s.pulling = false
 	if !complete {
-		s.pulling, s.pulledAt = true, now
-		return []Output{Ask{From: from}}
+		return []Output{s.ask(Ask{From: from}, now)}
 	}
 	s.wanted = wanted{}
 	s.confirm(certain, mark{reader: reader})
-	return append(s.catchUp(now), s.tell(now)...)
+	return slices.Concat(s.catchUp(now), s.tell(now), s.release(now))
+}
+
+// PullBusy takes the word of a peer that it serves too many others at the moment.
+// elsewhere, if it has a name, holds the same settings.
+func (s *Sync) PullBusy(from, elsewhere sparconfig.VM, now time.Duration) []Output {
+	s.alive(from, now)
+	s.start.answered = now
+	s.pulling = false
+	if s.missed.Reader == "" {
+		s.missed = s.asking
+	}
+	s.pullAt = now + busyWait
+	if elsewhere.Name != "" && elsewhere.Name != s.self.Name {
+		s.missed.From, s.pullAt = elsewhere, now
+	}
+	return s.catchUp(now)
 }
 
 // PullFailed takes the failure of an Ask.
@@ -39,10 +63,9 @@
 }
 
 // want asks a peer for settings that this VM lacks. One pull is under way at a time, and
-// none while the first reading of the platform is likely to bring everything.
+// none while a first reading of the platform is likely to bring everything.
 func (s *Sync) want(n Notice, now time.Duration) []Output {
-	starting := !s.Synced() && (s.readMoved == 0 || s.busy && now-s.readMoved < startPatience)
-	if starting || s.pulling && now-s.pulledAt < pullEvery {
+	if s.pullsStill(now) || now < s.pullAt || !s.Synced() && s.readsFirst(n, now) {
 		n.Age -= now // the time at which it was complete, until it is taken up again
 		s.missed = n
 		return nil
@@ -54,15 +77,40 @@
 	s.wanted = wanted{
 		mark: mark{n.Reader, n.Round}, digest: n.Digest, certain: now - n.Age,
 	}
-	s.pulling, s.pulledAt = true, now
-	return []Output{Ask{From: n.From, After: after}}
+	s.asking = n
+	s.asking.Age -= now
+	return []Output{s.ask(Ask{From: n.From, After: after}, now)}
 }
 
-// catchUp takes up the last notice that came while a pull was under way.
+// ask begins a pull.
+func (s *Sync) ask(a Ask, now time.Duration) Output {
+	s.pulling, s.pullUntil = true, now+changesPatience
+	if a.After == 0 {
+		s.pullUntil = now + wholePatience
+	}
+	return a
+}
+
+// pullsStill reports whether a pull is under way and still waited for.
+func (s *Sync) pullsStill(now time.Duration) bool { return s.pulling && now < s.pullUntil }
+
+// readsFirst reports whether a VM without settings leaves those of a notice, since it reads
+// the platform, or since they are old and it has not tried to.
+func (s *Sync) readsFirst(n Notice, now time.Duration) bool {
+	if s.busy {
+		return now-s.readMoved < readPatience
+	}
+	return n.Age >= s.share(takeoverShare) && !s.failing
+}
+
+// catchUp takes up the last notice that could not be followed when it came.
 func (s *Sync) catchUp(now time.Duration) []Output {
 	n := s.missed
+	if n.Reader == "" || now < s.pullAt {
+		return nil
+	}
 	s.missed = Notice{}
-	if n.Reader == "" || n.Digest == s.held.Digest || s.Synced() && n.Revision < s.held.Revision {
+	if n.Digest == s.held.Digest || s.Synced() && n.Revision < s.held.Revision {
 		return nil
 	}
 	n.Age += now
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -3,15 +3,23 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 // Tick does what time makes due.
 func (s *Sync) Tick(now time.Duration) []Output {
 	var outs []Output
+	if s.start.began == 0 {
+		s.start.began = now
+	}
 	if s.readDue(now) {
 		s.busy, s.readMoved = true, now
 		outs = append(outs, s.read(now))
 	}
+	if !s.pullsStill(now) {
+		outs = append(outs, s.catchUp(now)...)
+	}
 	return append(outs, s.asks(now)...)
 }
 
@@ -21,15 +29,10 @@
 	if s.busy || now < s.readAt {
 		return false
 	}
-	if chart.Has(s.state, readsMark) {
-		return true
+	if !s.Synced() {
+		return s.startDue(now)
 	}
-	if s.Age(now) < s.share(takeoverShare) {
-		return false
-	}
-	rank := min(slices.Index(s.names(0), s.self.Name), staggerSteps)
-	stagger := s.share(staggerShare) * time.Duration(rank) / staggerSteps
-	return s.Age(now) >= s.share(takeoverShare)+stagger
+	return chart.Has(s.state, readsMark) || s.takeoverDue(now)
 }
 
 // read asks for a reading. Changes do where everything would be too much to read each
@@ -61,8 +64,9 @@
 		s.state = chart.Next(s.state, "stale")
 	}
 	s.rounds++
+	clear(s.outages)
 	s.confirm(began, mark{s.self.Name, s.rounds})
-	return s.tell(now)
+	return append(s.tell(now), s.release(now)...)
 }
 
 // ReadMoved notes that a reading has brought a part of what it will bring. All VMs that
@@ -79,8 +83,8 @@
 // ReadFailed takes the failure of a reading.
 func (s *Sync) ReadFailed(now time.Duration) []Output {
 	s.busy, s.failing = false, true
-	s.readAt = now + s.retry
-	s.retry = min(2*s.retry, retryLast)
+	s.readAt = now + s.retryAfter()
+	s.outages[s.self.Name] = now
 	return s.catchUp(now)
 }
 
@@ -113,16 +117,17 @@
 }
 
 // asks asks some peers in turn while the settings here are old: one that was heard
-// lately, one of the same failure domain, which a cut leaves in reach, and any one.
+// lately, one of the same failure domain, which a cut leaves in reach, and any one. Each VM
+// begins with another one, so that a fleet whose settings are old asks all of its VMs.
 func (s *Sync) asks(now time.Duration) []Output {
-	if s.missed.Reader != "" && !s.Synced() && s.busy && now-s.readMoved >= startPatience {
-		return s.catchUp(now)
-	}
-	if now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
+	if s.asked > 0 && now-s.askedAt < askEvery || s.Synced() && s.Age(now) < s.share(askShare) {
 		return nil
 	}
 	s.askedAt = now
 	s.asked++
+	if s.asked == 1 && !s.Synced() {
+		return s.greet(now)
+	}
 	var heard, near, all []*peer
 	for _, name := range s.names(0) {
 		p := s.peers[name]
@@ -138,10 +143,11 @@
 		}
 	}
 	all = append(all, s.seeds...)
+	turn := s.asked + int(sparrank.Name(s.self.Name)>>33)
 	var outs []Output
 	for _, peers := range [][]*peer{heard, near, all} {
 		if len(peers) > 0 {
-			outs = append(outs, s.enquire(peers[s.asked%len(peers)].vm, now))
+			outs = append(outs, s.enquire(peers[turn%len(peers)].vm, now))
 		}
 	}
 	return outs
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -37,15 +37,9 @@
 	takeoverShare = 0.5
 	staggerShare  = 0.15
 
-	// staggerSteps is the number of ranks that a takeover is staggered over.
-	staggerSteps = 8
-
 	retryFirst = 150 * time.Millisecond
 	retryLast  = 2 * time.Second
 	askEvery   = 200 * time.Millisecond
-	// startPatience is how long a VM that starts waits for more of its first reading before
-	// it asks peers for everything: many times the usual answer of the platform.
-	startPatience = 300 * time.Millisecond
 	// controlRate is what a VM may spend on control, in bytes a second. A reader of
 	// settings that need more reads what has changed.
 	controlRate = 8000
@@ -87,11 +81,16 @@
 		size      int // bytes of the last whole reading, 0 before the first
 		retry     time.Duration
 		failing   bool
-		returned  time.Duration // when the platform answered again after a failure
+		returned  time.Duration            // when the platform answered again after a failure
+		outages   map[string]time.Duration // when the platform failed to answer a VM
 		wanted    wanted
-		missed    Notice // came while a pull was under way; its age counts from time 0
+		asking    Notice        // that the pull under way follows; its age counts from time 0
+		missed    Notice        // to be followed once no pull is under way; as asking
+		pullAt    time.Duration // not before
 		pulling   bool
-		pulledAt  time.Duration
+		pullUntil time.Duration // the pull under way is waited for
+		start     start
+		serving   serving
 		askedAt   time.Duration
 		asked     int // number of peers asked, to ask them in turn
 		relayed   mark
@@ -107,7 +106,10 @@
 // New returns the state of the VM self. Settings must be in force everywhere within
 // bound of their acknowledgement.
 func New(self sparconfig.VM, bound time.Duration) *Sync {
-	return &Sync{self: self, bound: bound, state: chart.Start(), retry: retryFirst, peers: map[string]*peer{}, orders: map[int][]string{}}
+	return &Sync{
+		self: self, bound: bound, state: chart.Start(), retry: retryFirst, start: start{seed: true},
+		peers: map[string]*peer{}, orders: map[int][]string{}, outages: map[string]time.Duration{},
+	}
 }
 
 // State returns what this VM does about settings: starting, following or reading.
@@ -148,6 +150,8 @@
 // Heard takes a notice of a peer.
 func (s *Sync) Heard(n Notice, now time.Duration) []Output {
 	s.alive(n.From, now)
+	s.start.answered = now
+	s.start.outdated = s.start.outdated || n.Age >= s.share(takeoverShare)
 	outs := append([]Output{Confirm{To: n.From}}, s.outrank(n, now)...)
 	s.yield(n)
 	switch {
@@ -163,21 +167,30 @@
 // learns of a peer to ask.
 func (s *Sync) Asked(q Query, now time.Duration) []Output {
 	s.alive(q.From, now)
+	s.learn(q.Outages, now)
 	switch {
 	case !s.Synced() && q.Synced:
 		return []Output{s.enquire(q.From, now)}
-	case s.Synced() && (!q.Synced || s.Age(now) < q.Age):
+	case !s.Synced():
+		return s.wait(q.From)
+	case !q.Synced:
+		return s.refer(q.From, now)
+	case s.Age(now) < q.Age:
 		return []Output{Notify{To: q.From, Notice: s.notice(now)}}
 	}
 	return nil
 }
 
 func (s *Sync) enquire(to sparconfig.VM, now time.Duration) Output {
-	return Enquire{To: to, Query: Query{From: s.self, Synced: s.Synced(), Age: s.Age(now)}}
+	return Enquire{To: to, Query: Query{From: s.self, Synced: s.Synced(), Age: s.Age(now), Outages: s.told(now)}}
 }
 
-// Confirmed takes the word of a peer that a notice arrived.
-func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) { s.alive(vm, now) }
+// Confirmed takes the word of a peer that a notice arrived, or that it is up but has no
+// settings to hand out yet.
+func (s *Sync) Confirmed(vm sparconfig.VM, now time.Duration) {
+	s.alive(vm, now)
+	s.start.answered = now
+}
 
 // confirm notes that the settings here were complete at a time.
 func (s *Sync) confirm(at time.Duration, by mark) {
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -10,7 +10,6 @@
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparstream"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparroute"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
-	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 type (
@@ -172,34 +171,6 @@
 	}
 }
 
-// FromShare returns the reply to a pull, for the caller to add what it knows beyond it.
-func FromShare(s sparregistry.Share) *PullReply {
-	return &PullReply{
-		After: s.After, Entries: fromEntries(s.Entries), Base: s.Base, Revision: s.Revision, Synced: s.Synced,
-	}
-}
-
-// ToShare returns what the peer has shared.
-func (r *PullReply) ToShare() sparregistry.Share {
-	return sparregistry.Share{
-		After: r.After, Entries: toEntries(r.Entries), Base: r.Base, Revision: r.Revision, Synced: r.Synced,
-	}
-}
-
-// fromEntries returns settings entries in wire form.
-func fromEntries(entries []sparregistry.Entry) []*Entry {
-	return convert(entries, func(e sparregistry.Entry) *Entry {
-		return &Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
-	})
-}
-
-// toEntries returns the settings entries of a reply.
-func toEntries(entries []*Entry) []sparregistry.Entry {
-	return convert(entries, func(e *Entry) sparregistry.Entry {
-		return sparregistry.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
-	})
-}
-
 // convert maps a list from one form to the other.
 func convert[A, B any](list []A, to func(A) B) []B {
 	if len(list) == 0 {
--- a/internal/peer/sparcontrol/notice.go
+++ b/internal/peer/sparcontrol/notice.go
@@ -10,6 +10,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
 
+// maxAge bounds the ages that VMs tell: longer than any of them runs.
+const maxAge = 10 * 365 * 24 * time.Hour
+
 type (
 	// Told is a notice of a peer about its settings.
 	Told struct {
@@ -56,16 +59,26 @@
 	if n.Reader == "" || n.Round == 0 {
 		return Told{}, errors.New("notice without a reader")
 	}
+	age, err := ToAge(n.Age)
 	return Told{Notice: sparsync.Notice{
-		From: vm, Reader: n.Reader, Round: n.Round, Revision: n.Revision, Digest: n.Digest,
-		Age: time.Duration(n.Age) * time.Microsecond,
-	}}, nil
+		From: vm, Reader: n.Reader, Round: n.Round, Revision: n.Revision, Digest: n.Digest, Age: age,
+	}}, err
+}
+
+// ToAge returns the age that a peer gives in microseconds. One that no VM reaches is an
+// error: taken for a time it could lie in the future, and old settings would look fresh.
+func ToAge(us uint64) (age time.Duration, err error) {
+	if us > uint64(maxAge.Microseconds()) {
+		return 0, errors.Errorf("an age of %d us, expected at most %s", us, maxAge)
+	}
+	return time.Duration(us) * time.Microsecond, nil
 }
 
 // EncodeQuery returns a query in wire form.
 func EncodeQuery(q sparsync.Query) []byte {
 	return marshal(&Datagram{Body: &Datagram_Query{Query: &Query{
 		From: FromVM(q.From), Synced: q.Synced, Age: uint64(q.Age.Microseconds()),
+		Outages: convert(q.Outages, fromOutage),
 	}}})
 }
 
@@ -74,9 +87,26 @@
 	if err := sparconfig.CheckName(vm.Name); err != nil {
 		return Asked{}, err
 	}
-	return Asked{Query: sparsync.Query{
-		From: vm, Synced: q.Synced, Age: time.Duration(q.Age) * time.Microsecond,
-	}}, vm.Check()
+	if err := vm.Check(); err != nil {
+		return Asked{}, err
+	}
+	age, err := ToAge(q.Age)
+	if err != nil {
+		return Asked{}, err
+	}
+	asked = Asked{Query: sparsync.Query{From: vm, Synced: q.Synced, Age: age}}
+	for _, o := range q.Outages {
+		since, err := ToAge(o.Age)
+		if err != nil {
+			return Asked{}, err
+		}
+		asked.Query.Outages = append(asked.Query.Outages, sparsync.Outage{VM: o.Vm, Age: since})
+	}
+	return asked, nil
+}
+
+func fromOutage(o sparsync.Outage) *Outage {
+	return &Outage{Vm: o.VM, Age: uint64(o.Age.Microseconds())}
 }
 
 // EncodeDeparture returns a departure in wire form.
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -130,7 +130,7 @@
 	for _, e := range registry.Under("") {
 		known, ok := r.read[e.Key]
 		if !ok || known.revision != e.Revision {
-			fact, err := decode(e.Key, e.Value)
+			fact, err := decode.read(e)
 			known = reading{revision: e.Revision, fact: fact, err: err}
 		}
 		next.read[e.Key] = known
@@ -144,6 +144,17 @@
 	return next
 }
 
+// read decodes an entry. A decoder that panics spoils this entry alone: each VM has the same
+// ones, and all of them would end.
+func (d Decoder) read(e sparregistry.Entry) (fact Fact, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			fact, err = nil, errors.Errorf("decoding panicked: %v", cause)
+		}
+	}()
+	return d(e.Key, e.Value)
+}
+
 // add takes one decoded entry.
 func (r *Roster) add(key string, entry reading) {
 	if entry.err != nil {
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -83,3 +83,20 @@
 		t.Errorf("problems %v", roster.Problems)
 	}
 }
+
+// TestPanickingDecoder reads an entry that the decoder does not survive beside others.
+func TestPanickingDecoder(t *testing.T) {
+	r := sparregistry.Registry{}.With(
+		sparregistry.Entry{Key: "upstream/1", Value: []byte("a"), Revision: 2},
+		sparregistry.Entry{Key: "upstream/22", Value: []byte("b"), Revision: 3},
+	)
+	roster := sparroster.New(r, func(key string, value []byte) (sparroster.Fact, error) {
+		if key == "upstream/22" {
+			panic("index out of range")
+		}
+		return decode(key, value)
+	})
+	if len(roster.Upstreams) != 1 || len(roster.Problems) != 1 || roster.Problems[0].Key != "upstream/22" {
+		t.Errorf("upstreams %v, problems %v", roster.Upstreams, roster.Problems)
+	}
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -103,6 +103,8 @@
 		writes  *sparring.Ring[write]
 		buffers sync.Pool
 		ready   atomic.Bool
+		ending  chan struct{} // closed once the fabric has left
+		ended   chan struct{} // closed once requests that were accepted have ended
 
 		began     time.Time
 		clock     clock
@@ -112,6 +114,7 @@
 		timeline  *spartimeline.Ring
 		stamps    spartimeline.Clock
 		metrics   *metrics
+		shelf     shelf
 		listed    listing
 		early     []*packet // held until the first settings
 		synced    bool
@@ -141,7 +144,7 @@
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), wire.Force), wire: wire,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
-		reachable: true,
+		reachable: true, ending: make(chan struct{}), ended: make(chan struct{}),
 	}
 	vm.buffers.New = func() any { return new(packet) }
 	if vm.clock, err = newClock(); err != nil {
@@ -209,6 +212,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	stopping := stop.Done()
+	ending := vm.ending
 	vm.tick()
 	for {
 		select {
@@ -222,9 +226,12 @@
 			vm.reload(file)
 		case <-ticker.C:
 			vm.tick()
-			if vm.leave.Done(vm.clock.now()) {
-				return nil
+			if ending != nil && vm.leave.Done(vm.clock.now()) {
+				close(ending)
+				ending = nil
 			}
+		case <-vm.ended:
+			return nil
 		case <-stopping:
 			stopping = nil
 			vm.leave.Begin(vm.file.Name, vm.clock.now(), vm.wire.Grace)
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
@@ -21,12 +23,20 @@
 
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
-	return sparring.Ask(ctx, h.vm.asks, func(vm *VM) *sparcontrol.PullReply {
-		reply := sparcontrol.FromShare(vm.registry.Share(r.After))
-		reply.Synced, reply.Reader = vm.sync.Synced(), vm.sync.Reader()
-		reply.Age = uint64(max(vm.sync.Age(vm.clock.now()), 0).Microseconds())
-		return reply
-	})
+	t, ok := ctx.Value(ticketKey{}).(*ticket)
+	if !ok {
+		return nil, errors.New("a pull without a ticket")
+	}
+	t.to, t.after = r.From.ToVM(), r.After
+	a, err := sparring.Ask(ctx, h.vm.asks, func(vm *VM) admission { return vm.answerPull(t) })
+	if err != nil {
+		return nil, err
+	}
+	if a.reply.Synced && !a.reply.Busy && a.reply.Share == nil {
+		a.reply.Share = sparcontrol.EncodeShare(a.share)
+		h.vm.shelf.put(a.label, a.reply.Share)
+	}
+	return a.reply, nil
 }
 
 // Facts implements Control. The reply carries the id of its request.
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
@@ -158,6 +159,14 @@
 	}).Warn("peer did not answer")
 }
 
+func (vm *VM) logPeerBusy(p pull, elsewhere sparconfig.VM) {
+	fields := logrus.Fields{"peer": p.ask.From.Name, "at": p.ask.From.Control, "after": p.ask.After, "age_ms": vm.age.Milliseconds()}
+	if elsewhere.Name != "" {
+		fields["elsewhere"] = elsewhere.Name
+	}
+	vm.log.WithFields(fields).Info("peer busy")
+}
+
 func (vm *VM) logListFailed(err error) {
 	vm.log.WithFields(logrus.Fields{"cause": shortError(err)}).Warn("listing this VM failed, tried again")
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -24,6 +24,8 @@
 	early      atomic.Uint64 // packets given up before the first settings
 	badControl atomic.Uint64
 	control    atomic.Uint64 // bytes of control datagrams sent
+	served     atomic.Uint64 // pulls of peers that were answered
+	busy       atomic.Uint64 // pulls of peers that were turned away
 	counted    map[string]uint64
 }
 
@@ -48,6 +50,8 @@
 	clear(m.badPackets)
 	m.count("platform_calls", vm.store.Calls())
 	m.count("control_bytes", m.control.Load())
+	m.count("served_pulls", m.served.Load())
+	m.count("busy_pulls", m.busy.Load())
 	m.count("refused_control", m.badControl.Load())
 	m.count("early_packets", m.early.Load())
 	m.count("unread_datagrams", m.unread.Load())
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -26,6 +26,8 @@
 	pulled struct {
 		pull  pull
 		reply *sparcontrol.PullReply
+		age   time.Duration      // of the settings of the peer
+		share sparregistry.Share // unless the peer is busy or knows none
 		err   error
 	}
 
@@ -59,6 +61,8 @@
 		vm.sync.ReadMoved(now)
 	case probed:
 		vm.leave.Refused(now)
+	case served:
+		vm.sync.Served(in.to, in.after, in.digest, in.whole)
 	case wrote:
 		vm.takeWrite(in)
 	}
@@ -88,15 +92,18 @@
 		vm.perform(vm.sync.PullFailed(now), now)
 		return
 	}
-	r := in.reply
-	if !r.Synced {
+	from, r := in.pull.ask.From, in.reply
+	switch {
+	case r.Busy:
+		vm.logPeerBusy(in.pull, r.Elsewhere.ToVM())
+		vm.perform(vm.sync.PullBusy(from, r.Elsewhere.ToVM(), now), now)
+	case !r.Synced:
 		vm.perform(vm.sync.PullFailed(now), now)
-		return
+	default:
+		next, complete := vm.registry.WithShare(in.share)
+		vm.adopt(next, from.Name)
+		vm.perform(vm.sync.Pulled(from, r.Reader, in.pull.began-in.age, complete, now), now)
 	}
-	next, complete := vm.registry.WithShare(r.ToShare())
-	vm.adopt(next, in.pull.ask.From.Name)
-	certain := in.pull.began - time.Duration(r.Age)*time.Microsecond
-	vm.perform(vm.sync.Pulled(in.pull.ask.From, r.Reader, certain, complete, now), now)
 }
 
 func (vm *VM) held() sparsync.Held {
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
@@ -45,9 +46,13 @@
 
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
-	return sparring.Ask(ctx, h.server.asks, func(s *Server) *sparcontrol.PullReply {
-		return sparcontrol.FromShare(s.node.Registry().Share(r.After))
+	share, err := sparring.Ask(ctx, h.server.asks, func(s *Server) sparregistry.Share {
+		return s.node.Registry().Share(r.After)
 	})
+	if err != nil {
+		return nil, err
+	}
+	return &sparcontrol.PullReply{Share: sparcontrol.EncodeShare(share), Synced: share.Synced}, nil
 }
 
 // Facts implements Control. The reply carries the id of its request.
--- a/internal/vm/sparserver/threads.go
+++ b/internal/vm/sparserver/threads.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparnode"
 )
@@ -71,12 +72,12 @@
 	for {
 		select {
 		case pull := <-s.pulls.Out():
-			reply, err := s.pull(ctx, pull)
+			share, err := s.pull(ctx, pull)
 			if err != nil {
 				s.log.WithError(err).Debug("pull")
 				continue
 			}
-			s.inputs.Put(learned{share: reply.ToShare()})
+			s.inputs.Put(learned{share: share})
 		case <-ctx.Done():
 			return nil
 		}
@@ -97,7 +98,7 @@
 	}
 }
 
-func (s *Server) pull(ctx context.Context, pull sparnode.Pull) (reply *sparcontrol.PullReply, err error) {
+func (s *Server) pull(ctx context.Context, pull sparnode.Pull) (share sparregistry.Share, err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Annotatef(err, "pull from %s", pull.From.Control)
@@ -105,5 +106,10 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	return sparcontrol.Dial(pull.From.Control, s.metrics.countBytes(http.DefaultTransport)).Pull(ctx, &sparcontrol.PullRequest{After: pull.After})
+	peer := sparcontrol.Dial(pull.From.Control, s.metrics.countBytes(http.DefaultTransport))
+	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: pull.After})
+	if err != nil {
+		return sparregistry.Share{}, err
+	}
+	return sparcontrol.DecodeShare(reply.Share)
 }
