sparhealth: trials of an upstream that fails grow rare

Change: each trial that fails doubles the wait, 2, 4, 8 s at most; any answer ends that. Test: TestTrialsGrowRare, 5 trials in 30 s, 15 before.

--- a/internal/route/sparhealth/health.go
+++ b/internal/route/sparhealth/health.go
@@ -20,8 +20,10 @@
 const (
 	// FailuresInRow is the number of failed openings after which an upstream fails.
 	FailuresInRow = 3
-	// RetryAfter is how long a failing upstream gets no openings.
-	RetryAfter = 2 * time.Second
+	// RetryAfter is how long a failing upstream gets no openings. Each trial that fails
+	// doubles it, up to RetryAtMost: every VM tries for itself, at the cost of a caller.
+	RetryAfter  = 2 * time.Second
+	RetryAtMost = 8 * time.Second
 
 	// rampStart is the share of a warming upstream at its first moment.
 	rampStart = 0.1
@@ -43,6 +45,7 @@
 type Health struct {
 	state    sparchart.State
 	failures int
+	trials   int // in a row that failed
 	since    time.Duration
 }
 
@@ -62,7 +65,7 @@
 
 // Answered notes that the upstream has answered.
 func (h *Health) Answered(now time.Duration) (changed bool) {
-	h.failures = 0
+	h.failures, h.trials = 0, 0
 	return h.change("answered", now)
 }
 
@@ -72,21 +75,34 @@
 	if h.failures < FailuresInRow && !h.OnTrial() {
 		return false
 	}
-	return h.change("failed", now)
+	return h.fail(now)
 }
 
 // Ejected takes the upstream out at once, on evidence of more than one flow.
 func (h *Health) Ejected(now time.Duration) (changed bool) {
 	h.failures = FailuresInRow
+	return h.fail(now)
+}
+
+func (h *Health) fail(now time.Duration) (changed bool) {
+	if h.OnTrial() {
+		h.trials++
+	}
 	return h.change("failed", now)
 }
 
+// retryAfter returns how long the upstream gets no openings now.
+func (h *Health) retryAfter() time.Duration {
+	const doublings = 2 // from RetryAfter to RetryAtMost
+	return RetryAfter << min(h.trials, doublings)
+}
+
 // Tick does what time makes due. warm is how long an upstream warms up.
 func (h *Health) Tick(now, warm time.Duration) (changed bool) {
 	switch {
 	case chart.Has(h.current(), rampsMark) && now-h.since >= warm:
 		return h.change("warmed", now)
-	case !h.Opens() && now-h.since >= RetryAfter:
+	case !h.Opens() && now-h.since >= h.retryAfter():
 		return h.change("retry", now)
 	}
 	return false
--- a/internal/route/sparhealth/health_test.go
+++ b/internal/route/sparhealth/health_test.go
@@ -59,3 +59,27 @@
 		t.Errorf("weight %v after the warm-up", got)
 	}
 }
+
+// TestTrialsGrowRare is the pattern of a fleet beside upstreams that are gone while the
+// platform is away: each VM tries each of them, so trials must not add up.
+func TestTrialsGrowRare(t *testing.T) {
+	const step = 50 * time.Millisecond
+	var h sparhealth.Health
+	h.Ejected(0)
+	trials := 0
+	for now := step; now <= 30*time.Second; now += step {
+		if h.Tick(now, 0); h.OnTrial() {
+			trials++
+			h.Failed(now)
+		}
+	}
+	if trials > 5 {
+		t.Errorf("%d trials in 30 s, want at most 5: after 2, 4, 8, 8 and 8 s", trials)
+	}
+	h.Tick(time.Minute, 0)
+	h.Answered(time.Minute)
+	h.Ejected(time.Minute)
+	if h.Tick(time.Minute+sparhealth.RetryAfter, 0); !h.OnTrial() {
+		t.Error("an upstream that has answered is not tried as soon as another")
+	}
+}
