sparsync: seeds list those that ask, VMs whose seeds come late ask who else there is

Change: a VM whose seeds have not answered for 15 ms reads the list of VMs, one call. The first 32 in the order of names read at once, as many as the platform's link serves at the speed of theirs; the others hear from them, or twice as many read 0.4 s later. One that is not listed yet waits 0.6 s for seeds. A first reading that takes longer than 150 ms no longer keeps a VM from taking settings from a peer. Seeds list the VMs that have asked them, a share each by name, 16 in a write; a VM lists itself if it is absent after 4 s. Until it has settings a VM acts every 5 ms.

--- /dev/null
+++ b/internal/member/sparsync/enlist_test.go
@@ -0,0 +1,55 @@
+package sparsync_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+)
+
+// TestSeedsListThoseThatAsk is the first start of a fleet: 300 VMs ask all three seeds.
+// Each of them is listed by one seed, once, and a VM that is listed is left alone.
+func TestSeedsListThoseThatAsk(t *testing.T) {
+	var seeds []sparconfig.VM
+	var controls []string
+	for i := range 3 {
+		vm := sparconfig.VM{Name: fmt.Sprintf("seed-%d", i), Data: "10.0.0.1:1", Control: fmt.Sprintf("10.0.0.%d:2", i)}
+		seeds, controls = append(seeds, vm), append(controls, vm.Control)
+	}
+	listed := map[string]int{}
+	writes := 0
+	for _, seed := range seeds {
+		s := sparsync.New(seed, bound)
+		s.Seeds(controls)
+		now := time.Millisecond
+		s.Tick(now)
+		s.ReadDone(now, sparsync.Held{Revision: 1, Digest: 1}, smallSettings, now)
+		s.List([]sparconfig.VM{{Name: "vm-7", Data: "10.1.0.1:1", Control: "10.1.0.7:2"}}, now)
+		for i := range 300 {
+			vm := sparconfig.VM{Name: fmt.Sprintf("vm-%d", i), Data: "10.1.0.1:1", Control: fmt.Sprintf("10.1.%d.%d:2", i/250, i%250+1)}
+			s.Asked(sparsync.Query{From: vm}, now)
+		}
+		for range 60 {
+			now += 50 * time.Millisecond
+			for _, out := range s.Tick(now) {
+				if e, ok := out.(sparsync.Enlist); ok {
+					writes++
+					for _, vm := range e.VMs {
+						listed[vm.Name]++
+					}
+				}
+			}
+		}
+	}
+	for i := range 300 {
+		name := fmt.Sprintf("vm-%d", i)
+		if want := 1; name != "vm-7" && listed[name] != want || name == "vm-7" && listed[name] > 0 {
+			t.Errorf("%s was listed %d times", name, listed[name])
+		}
+	}
+	if writes != len(seeds) {
+		t.Errorf("%d rounds of listing, want one of each seed", writes)
+	}
+}
--- a/internal/member/sparsync/output.go
+++ b/internal/member/sparsync/output.go
@@ -7,8 +7,9 @@
 )
 
 type (
-	// Output is something for the shell to do. It is a sealed interface: Read, Ask,
-	// Enquire, Notify, Confirm or Unlist.
+	// Output is something for the shell to do. It is a sealed interface: Read, Peek, Ask,
+	// Enquire, Notify, Confirm,
+	// Enlist or Unlist.
 	Output interface {
 		output()
 	}
@@ -19,6 +20,9 @@
 		After uint64
 	}
 
+	// Peek asks for the VMs that the platform lists, as an answer to Peeked.
+	Peek struct{}
+
 	// Ask pulls settings from a peer.
 	Ask struct {
 		From  sparconfig.VM
@@ -50,6 +54,11 @@
 		To sparconfig.VM
 	}
 
+	// Enlist asks to put entries of VMs into the platform that have started lately.
+	Enlist struct {
+		VMs []sparconfig.VM
+	}
+
 	// Unlist asks to take the entry of a VM out of the platform, since it has been silent
 	// for long. A VM that lives lists itself again.
 	Unlist struct {
@@ -69,8 +78,10 @@
 )
 
 func (Read) output()    {}
+func (Peek) output()    {}
 func (Ask) output()     {}
 func (Enquire) output() {}
 func (Notify) output()  {}
 func (Confirm) output() {}
+func (Enlist) output()  {}
 func (Unlist) output()  {}
--- a/internal/member/sparsync/peer.go
+++ b/internal/member/sparsync/peer.go
@@ -20,11 +20,12 @@
 
 // peer is another VM.
 type peer struct {
-	vm      sparconfig.VM
-	heard   time.Duration
-	known   bool          // listed by the platform, otherwise only heard
-	open    int           // notices sent since it was heard last
-	unheard time.Duration // the first of them, or the last time that it was to be unlisted
+	vm       sparconfig.VM
+	heard    time.Duration
+	known    bool          // listed by the platform, otherwise only heard
+	open     int           // notices sent since it was heard last
+	unheard  time.Duration // the first of them, or the last time that it was to be unlisted
+	enlisted time.Duration // when it was listed for it
 }
 
 // alive reports whether the peer was heard lately.
--- a/internal/member/sparsync/pull.go
+++ b/internal/member/sparsync/pull.go
@@ -94,11 +94,11 @@
 // pullsStill reports whether a pull is under way and still waited for.
 func (s *Sync) pullsStill(now time.Duration) bool { return s.pulling && now < s.pullUntil }
 
-// readsFirst reports whether a VM without settings leaves those of a notice, since it reads
-// the platform, or since they are old and it has not tried to.
+// readsFirst reports whether a VM without settings leaves those of a notice, since its own
+// reading of the platform will soon end, or since they are old and it has not tried to.
 func (s *Sync) readsFirst(n Notice, now time.Duration) bool {
 	if s.busy {
-		return now-s.readMoved < readPatience
+		return now-s.readBegan < readPatience
 	}
 	return n.Age >= s.share(takeoverShare) && !s.failing
 }
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -14,13 +14,17 @@
 		s.start.began = now
 	}
 	if s.readDue(now) {
-		s.busy, s.readMoved = true, now
+		s.busy, s.readBegan = true, now
 		outs = append(outs, s.read(now))
 	}
+	if s.peekDue(now) {
+		s.start.peek.at = now
+		outs = append(outs, Peek{})
+	}
 	if !s.pullsStill(now) {
 		outs = append(outs, s.catchUp(now)...)
 	}
-	return append(outs, s.asks(now)...)
+	return slices.Concat(outs, s.asks(now), s.enlist(now))
 }
 
 // readDue reports whether this VM is to read the platform now. One that follows
@@ -69,14 +73,10 @@
 	return append(s.tell(now), s.release(now)...)
 }
 
-// ReadMoved notes that a reading has brought a part of what it will bring. All VMs that
-// start at once share the platform's link, so that whole readings take seconds.
-func (s *Sync) ReadMoved(now time.Duration) { s.readMoved = now }
-
 // ReadBroken takes a reading of changes that left some out, so that it proves nothing.
 // Everything is read in its place, and counts from then on.
 func (s *Sync) ReadBroken(now time.Duration) []Output {
-	s.readMoved = now
+	s.readBegan = now
 	return []Output{Read{}}
 }
 
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -73,27 +73,28 @@
 		seeds   []*peer
 		orders  map[int][]string // of names, by slot
 
-		source    mark          // whose reading the settings follow
-		rounds    uint64        // readings of this VM
-		busy      bool          // a reading is under way
-		readMoved time.Duration // when the reading under way began or brought something
-		readAt    time.Duration
-		size      int // bytes of the last whole reading, 0 before the first
-		retry     time.Duration
-		failing   bool
-		returned  time.Duration            // when the platform answered again after a failure
-		outages   map[string]time.Duration // when the platform failed to answer a VM
-		wanted    wanted
-		asking    Notice        // that the pull under way follows; its age counts from time 0
-		missed    Notice        // to be followed once no pull is under way; as asking
-		pullAt    time.Duration // not before
-		pulling   bool
-		pullUntil time.Duration // the pull under way is waited for
-		start     start
-		serving   serving
-		askedAt   time.Duration
-		asked     int // number of peers asked, to ask them in turn
-		relayed   mark
+		source     mark          // whose reading the settings follow
+		rounds     uint64        // readings of this VM
+		busy       bool          // a reading is under way
+		readBegan  time.Duration // when the reading under way began
+		readAt     time.Duration
+		size       int // bytes of the last whole reading, 0 before the first
+		retry      time.Duration
+		failing    bool
+		returned   time.Duration            // when the platform answered again after a failure
+		outages    map[string]time.Duration // when the platform failed to answer a VM
+		wanted     wanted
+		asking     Notice        // that the pull under way follows; its age counts from time 0
+		missed     Notice        // to be followed once no pull is under way; as asking
+		pullAt     time.Duration // not before
+		pulling    bool
+		pullUntil  time.Duration // the pull under way is waited for
+		start      start
+		serving    serving
+		enlistedAt time.Duration
+		askedAt    time.Duration
+		asked      int // number of peers asked, to ask them in turn
+		relayed    mark
 	}
 
 	// mark is one round of one reader.
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -51,9 +51,9 @@
 	// pullRing is the number of pulls that wait: one is under way at a time, and one
 	// that is given up may be followed before its end is known.
 	pullRing = 16
-	// writeRing is the number of writes that wait: the listing of this VM, and as many
-	// removals as the tree has VMs below one.
-	writeRing = 8
+	// writeRing is the number of writes that wait: the listing of this VM, a large fleet's
+	// share of those that a seed lists, and as many removals as the tree has VMs below one.
+	writeRing = 32
 
 	// socketQueue is the kernel's queue of a socket in bytes: the packets of a ring at
 	// their usual size.
@@ -62,20 +62,25 @@
 	// tickEvery is how often time is acted on: a fraction of the 200 ms after which
 	// a caller repeats a packet.
 	tickEvery = 50 * time.Millisecond
+	// startTick is the same while a VM has no settings, so that none of its waits is longer
+	// than it need be.
+	startTick = 5 * time.Millisecond
 )
 
 type (
 	// Store is what a VM needs of the platform.
 	Store interface {
-		// List reads every key, linearizably, and calls moved as it goes on.
-		List(ctx context.Context, moved func()) (platform.Reading, error)
+		// List reads every key, linearizably.
+		List(ctx context.Context) (platform.Reading, error)
+		// VMs reads the VMs that are listed, linearizably.
+		VMs(ctx context.Context) ([]sparconfig.VM, error)
 		// Revision reads the revision of the platform, linearizably.
 		Revision(ctx context.Context) (uint64, error)
 		// Changes reads what has changed after a revision. Some may be missing.
 		Changes(ctx context.Context, after uint64) (platform.Changes, error)
-		// Put writes an entry that is still at its revision, 0 meaning absent, and
-		// returns it as written.
-		Put(ctx context.Context, e sparregistry.Entry) (sparregistry.Entry, error)
+		// Put writes entries that are all still at their revisions, 0 meaning absent, or
+		// none, and returns the revision at which they stand then.
+		Put(ctx context.Context, entries ...sparregistry.Entry) (uint64, error)
 		// Remove takes an entry away that is still at its revision.
 		Remove(ctx context.Context, e sparregistry.Entry) error
 		// Calls returns the number of calls made so far.
@@ -209,8 +214,9 @@
 
 // decide is the thread that owns the state.
 func (vm *VM) decide(threads, stop context.Context, reload <-chan sparconfig.File) error {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(startTick)
 	defer ticker.Stop()
+	starting := true
 	stopping := stop.Done()
 	ending := vm.ending
 	vm.tick()
@@ -226,6 +232,10 @@
 			vm.reload(file)
 		case <-ticker.C:
 			vm.tick()
+			if starting && vm.synced {
+				starting = false
+				ticker.Reset(tickEvery)
+			}
 			if ending != nil && vm.leave.Done(vm.clock.now()) {
 				close(ending)
 				ending = nil
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -159,6 +159,10 @@
 	}).Warn("peer did not answer")
 }
 
+func (vm *VM) logPeers(n int) {
+	vm.log.WithFields(logrus.Fields{"seeds": len(vm.file.Seeds), "vms": n}).Info("no seed answers, listed VMs are asked")
+}
+
 func (vm *VM) logPeerBusy(p pull, elsewhere sparconfig.VM) {
 	fields := logrus.Fields{"peer": p.ask.From.Name, "at": p.ask.From.Control, "after": p.ask.After, "age_ms": vm.age.Milliseconds()}
 	if elsewhere.Name != "" {
@@ -171,6 +175,16 @@
 	vm.log.WithFields(logrus.Fields{"cause": shortError(err)}).Warn("listing this VM failed, tried again")
 }
 
+func (vm *VM) logEnlist(w listOthers) {
+	vm.log.WithFields(logrus.Fields{"vms": len(w.entries), "first": w.entries[0].Key}).Info("listing VMs that have started")
+}
+
+func (vm *VM) logEnlisted(w listOthers, err error) {
+	if err != nil {
+		vm.log.WithFields(logrus.Fields{"vms": len(w.entries), "cause": shortError(err)}).Warn("listing others failed, they list themselves")
+	}
+}
+
 func (vm *VM) logUnlist(name string, revision uint64) {
 	vm.log.WithFields(logrus.Fields{"silent": name, "revision": revision, "age_ms": vm.age.Milliseconds()}).Warn("VM silent for long, its entry is taken out")
 	vm.note("unlisted", "", name, 0)
--- a/internal/vm/sparentry/reading.go
+++ b/internal/vm/sparentry/reading.go
@@ -6,16 +6,19 @@
 
 	"github.com/juju/errors"
 
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
 type (
-	// order is a reading to make: of what changed after a revision, 0 for everything.
+	// order is a reading to make: of what changed after a revision, 0 for everything, or of
+	// the VMs that are listed.
 	order struct {
 		began time.Duration
 		after uint64
+		vms   bool
 	}
 
 	// read is the outcome of a reading of the platform.
@@ -25,7 +28,7 @@
 		err   error
 	}
 
-	// found is what a reading has found. It is a sealed interface: whole or changes.
+	// found is what a reading has found. It is a sealed interface: whole, changes or peers.
 	found interface {
 		found()
 	}
@@ -41,21 +44,21 @@
 		reached uint64
 	}
 
-	// moved says that the reading under way has brought a part.
-	moved struct{}
+	// peers is the VMs that the platform lists.
+	peers []sparconfig.VM
 )
 
 func (read) input()    {}
-func (moved) input()   {}
 func (whole) found()   {}
 func (changes) found() {}
+func (peers) found()   {}
 
 // reader is the thread that reads the platform.
 func (vm *VM) reader(ctx context.Context) error {
 	for {
 		select {
 		case o := <-vm.reads.Out():
-			f, err := vm.readPlatform(ctx, o.after)
+			f, err := vm.readPlatform(ctx, o)
 			vm.post(ctx, read{order: o, found: f, err: err})
 		case <-ctx.Done():
 			return nil
@@ -65,11 +68,14 @@
 
 // readPlatform makes one reading. The revision comes first and linearizably, so that
 // changes which the platform keeps back are noticed.
-func (vm *VM) readPlatform(ctx context.Context, after uint64) (f found, err error) {
+func (vm *VM) readPlatform(ctx context.Context, o order) (f found, err error) {
+	after := o.after
+	if o.vms {
+		vms, err := vm.store.VMs(ctx)
+		return peers(vms), err
+	}
 	if after == 0 {
-		reading, err := vm.store.List(ctx, func() {
-			vm.inputs.Put(moved{}) // one that is lost makes this VM less patient
-		})
+		reading, err := vm.store.List(ctx)
 		return whole{reading}, err
 	}
 	reached, err := vm.store.Revision(ctx)
@@ -86,12 +92,20 @@
 // takeReading takes the outcome of a reading.
 func (vm *VM) takeReading(in read, now time.Duration) {
 	vm.logStore(in.err)
+	if in.err != nil && in.vms {
+		vm.perform(vm.sync.PeekFailed(now), now)
+		return
+	}
 	if in.err != nil {
 		vm.perform(vm.sync.ReadFailed(now), now)
 		return
 	}
 	size := 0
 	switch f := in.found.(type) {
+	case peers:
+		vm.logPeers(len(f))
+		vm.perform(vm.sync.Peeked(f, now), now)
+		return
 	case whole:
 		size = f.Bytes
 		vm.adopt(vm.withReading(f, now), "platform")
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -57,8 +57,6 @@
 		vm.takeReading(in, now)
 	case pulled:
 		vm.takePull(in, now)
-	case moved:
-		vm.sync.ReadMoved(now)
 	case probed:
 		vm.leave.Refused(now)
 	case served:
@@ -138,12 +136,16 @@
 		switch out := out.(type) {
 		case sparsync.Read:
 			vm.reads.Put(order{began: now, after: out.After})
+		case sparsync.Peek:
+			vm.reads.Put(order{began: now, vms: true})
 		case sparsync.Ask:
 			vm.pulls.Put(pull{ask: out, began: now}) // one at a time, see sparsync
 		case sparsync.Enquire:
 			vm.tell(out.To, sparcontrol.EncodeQuery(out.Query))
 		case sparsync.Notify:
 			vm.tell(out.To, sparcontrol.EncodeNotice(out.Notice))
+		case sparsync.Enlist:
+			vm.enlist(out.VMs)
 		case sparsync.Unlist:
 			vm.unlist(out.Name)
 		case sparsync.Confirm:
--- a/internal/vm/sparentry/share_test.go
+++ b/internal/vm/sparentry/share_test.go
@@ -71,3 +71,31 @@
 		t.Error("the VM does not end")
 	}
 }
+
+// TestSeedsListOthers starts VMs beside a seed: it lists them, and they call the platform
+// neither for their settings nor for their entries.
+func TestSeedsListOthers(t *testing.T) {
+	s := newSite(t)
+	control := free(t)
+	seed := s.startAt("vm-1", control, control)
+	eventually(t, "ready", seed.ready)
+	var others []*vm
+	for _, name := range []string{"vm-2", "vm-3", "vm-4"} {
+		others = append(others, s.start(name, control))
+	}
+	for _, v := range others {
+		eventually(t, "ready", v.ready)
+		eventually(t, "listed", func() bool { _, ok := s.fake.Get("vm/" + v.file.Name); return ok })
+		if n := v.store.Calls(); n > 0 {
+			t.Errorf("%s made %d calls", v.file.Name, n)
+		}
+	}
+}
+
+// TestListsItselfWithoutSeeds starts a VM whose seed does not answer.
+func TestListsItselfWithoutSeeds(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1", free(t))
+	eventually(t, "ready", v.ready)
+	eventually(t, "listed", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+}
