--- a/internal/member/sparsync/fleet_test.go
+++ b/internal/member/sparsync/fleet_test.go
@@ -340,3 +340,19 @@
 	l.waitReady(f.ready)
 	l.changing(6 * time.Second)
 }
+
+// TestStartAloneBesideAFlakyPlatform starts a VM that reaches no other one while the
+// platform refuses its first calls: it is ready soon after they are taken.
+func TestStartAloneBesideAFlakyPlatform(t *testing.T) {
+	l := fleets[0].settled(t)
+	for _, m := range l.vms {
+		m.kill()
+	}
+	l.run(time.Second)
+	m := l.vms[5]
+	m.refused = true
+	m.start()
+	l.run(400 * time.Millisecond)
+	m.refused = false
+	l.waitReady(500 * time.Millisecond)
+}
--- a/internal/member/sparsync/outage.go
+++ b/internal/member/sparsync/outage.go
@@ -52,10 +52,7 @@
 // retryAfter returns how long to wait before the platform is tried again, and makes the next
 // wait longer. Those late in the order try seldom, so that a fleet calls at a steady rate.
 func (s *Sync) retryAfter() time.Duration {
-	if !s.Synced() && !s.start.seed {
-		return retryLast + s.spread(retryLast)
-	}
-	if group := s.rank() / firstReaders; group > 0 {
+	if group := s.rank() / firstReaders; group > 0 && s.Synced() {
 		return retryLast * time.Duration(1+group)
 	}
 	wait := s.retry
--- a/internal/member/sparsync/output.go
+++ b/internal/member/sparsync/output.go
@@ -20,7 +20,7 @@
 		After uint64
 	}
 
-	// Peek asks for the VMs that the platform lists, as an answer to Peeked.
+	// Peek asks for the VMs that the platform lists. Peeked takes the answer.
 	Peek struct{}
 
 	// Ask pulls settings from a peer.
