--- /dev/null
+++ b/internal/peer/sparcontrol/fuzz_test.go
@@ -0,0 +1,55 @@
+package sparcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+)
+
+// FuzzDecode reads datagrams of anyone. What is taken has a name and no age in the future.
+func FuzzDecode(f *testing.F) {
+	vm := sparconfig.VM{Name: "vm-1", Domain: "north", Data: "10.1.0.1:1", Control: "10.1.0.1:2"}
+	f.Add(sparcontrol.EncodeNotice(sparsync.Notice{From: vm, Reader: "vm-2", Round: 3, Revision: 4, Digest: 5, Age: time.Second}))
+	f.Add(sparcontrol.EncodeQuery(sparsync.Query{From: vm, Synced: true, Age: time.Second, Outages: []sparsync.Outage{{VM: "vm-3", Age: time.Second}}}))
+	f.Add(sparcontrol.EncodeReceipt(vm))
+	f.Add(sparcontrol.EncodeDeparture(sparleave.Departure{From: "vm-1", Refusing: true}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		in, err := sparcontrol.Decode(b)
+		if err != nil {
+			return
+		}
+		switch in := in.(type) {
+		case sparcontrol.Told:
+			if in.Notice.From.Name == "" || in.Notice.Age < 0 {
+				t.Errorf("%+v", in)
+			}
+		case sparcontrol.Asked:
+			if in.Query.From.Name == "" || in.Query.Age < 0 {
+				t.Errorf("%+v", in)
+			}
+			for _, o := range in.Query.Outages {
+				if o.Age < 0 {
+					t.Errorf("%+v", in)
+				}
+			}
+		}
+	})
+}
+
+// FuzzDecodeShare reads what a peer hands over, damaged.
+func FuzzDecodeShare(f *testing.F) {
+	f.Add(sparcontrol.EncodeShare(sparregistry.Registry{}.Reading([]sparregistry.Entry{
+		{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("2"), Revision: 5},
+	}, 6).Share(0)))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		s, err := sparcontrol.DecodeShare(b)
+		if err == nil {
+			sparregistry.Registry{}.WithShare(s)
+		}
+	})
+}
