--- a/internal/member/sparsync/outage.go
+++ b/internal/member/sparsync/outage.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// told returns the outages to tell, and forgets the old ones.
-func (s *Sync) told(now time.Duration) []Outage {
+// knownOutages returns the outages that this VM knows of, and forgets the old ones.
+func (s *Sync) knownOutages(now time.Duration) []Outage {
 	var list []Outage
 	for name, at := range s.outages {
 		if now-at >= outageFor {
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -126,7 +126,7 @@
 	s.askedAt = now
 	s.asked++
 	if s.asked == 1 && !s.Synced() {
-		return s.greet(now)
+		return s.askSeeds(now)
 	}
 	var heard, near, all []*peer
 	for _, name := range s.names(0) {
--- a/internal/member/sparsync/start.go
+++ b/internal/member/sparsync/start.go
@@ -143,8 +143,8 @@
 	return d * time.Duration(sparrank.Name(s.self.Name)%steps) / steps
 }
 
-// greet asks all seeds at once.
-func (s *Sync) greet(now time.Duration) []Output {
+// askSeeds asks all seeds at once.
+func (s *Sync) askSeeds(now time.Duration) []Output {
 	var outs []Output
 	for _, seed := range s.seeds {
 		outs = append(outs, s.enquire(seed.vm, now))
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -183,7 +183,7 @@
 }
 
 func (s *Sync) enquire(to sparconfig.VM, now time.Duration) Output {
-	return Enquire{To: to, Query: Query{From: s.self, Synced: s.Synced(), Age: s.Age(now), Outages: s.told(now)}}
+	return Enquire{To: to, Query: Query{From: s.self, Synced: s.Synced(), Age: s.Age(now), Outages: s.knownOutages(now)}}
 }
 
 // Confirmed takes the word of a peer that a notice arrived, or that it is up but has no
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -119,7 +119,7 @@
 		timeline  *spartimeline.Ring
 		stamps    spartimeline.Clock
 		metrics   *metrics
-		shelf     shelf
+		shares    shareCache
 		listed    listing
 		early     []*packet // held until the first settings
 		synced    bool
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -34,7 +34,7 @@
 	}
 	if a.reply.Synced && !a.reply.Busy && a.reply.Share == nil {
 		a.reply.Share = sparcontrol.EncodeShare(a.share)
-		h.vm.shelf.put(a.label, a.reply.Share)
+		h.vm.shares.put(a.key, a.reply.Share)
 	}
 	return a.reply, nil
 }
--- a/internal/vm/sparentry/share.go
+++ b/internal/vm/sparentry/share.go
@@ -11,9 +11,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
-// maxShelved is the number of encoded shares kept: everything, and the changes that the
+// maxCached is the number of encoded shares kept: everything, and the changes that the
 // VMs below this one ask for.
-const maxShelved = 4
+const maxCached = 4
 
 type (
 	// ticket is the place of one pull among those that this VM serves at a time. It is
@@ -43,19 +43,19 @@
 	admission struct {
 		reply *sparcontrol.PullReply
 		share sparregistry.Share // to be encoded, where the reply has none yet
-		label label
+		key   shareKey
 	}
 
-	// label says which share of which settings an encoding holds.
-	label struct {
+	// shareKey names a share of the settings of a moment.
+	shareKey struct {
 		digest, revision, after uint64
 	}
 
-	// shelf keeps encoded shares, so that each is encoded once for all that ask. The zero
-	// shelf is empty.
-	shelf struct {
+	// shareCache keeps encoded shares, so that each is encoded once for all that ask. The zero
+	// cache is empty.
+	shareCache struct {
 		mu     sync.Mutex
-		shares map[label][]byte
+		shares map[shareKey][]byte
 	}
 )
 
@@ -121,7 +121,7 @@
 			Synced: vm.sync.Synced(), Reader: vm.sync.Reader(),
 			Age: uint64(max(vm.sync.Age(vm.clock.now()), 0).Microseconds()),
 		},
-		label: label{digest: vm.registry.Digest(), revision: vm.registry.Revision(), after: t.after},
+		key: shareKey{digest: vm.registry.Digest(), revision: vm.registry.Revision(), after: t.after},
 	}
 	if !a.reply.Synced {
 		return a
@@ -136,30 +136,30 @@
 		return a
 	}
 	vm.metrics.served.Add(1)
-	if a.reply.Share = vm.shelf.get(a.label); a.reply.Share == nil {
+	if a.reply.Share = vm.shares.get(a.key); a.reply.Share == nil {
 		a.share = vm.registry.Share(t.after)
 	}
 	return a
 }
 
 // get returns an encoded share, nil where it is not kept.
-func (s *shelf) get(l label) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.shares[l]
+func (c *shareCache) get(k shareKey) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shares[k]
 }
 
 // put keeps an encoded share. Those of older settings are dropped.
-func (s *shelf) put(l label, share []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for other := range s.shares {
-		if other.digest != l.digest || other.revision != l.revision || len(s.shares) >= maxShelved {
-			delete(s.shares, other)
+func (c *shareCache) put(k shareKey, share []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other := range c.shares {
+		if other.digest != k.digest || other.revision != k.revision || len(c.shares) >= maxCached {
+			delete(c.shares, other)
 		}
 	}
-	if s.shares == nil {
-		s.shares = map[label][]byte{}
+	if c.shares == nil {
+		c.shares = map[shareKey][]byte{}
 	}
-	s.shares[l] = share
+	c.shares[k] = share
 }
