sparentry: log when the platform goes back, and what a read passes over

The logs could not tell whether an entry of the operator was read and taken for older, was never read, or was not passed on. The responses' era is read now, and three lines and three metrics say where the platform was, after which revision changes were read, and which entries of a full read lose to later ones. No decision uses them yet.

TestRestoredPlatformIsLogged is new with the lines it looks for.

--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -13,6 +13,7 @@
 package sparregistry
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sort"
@@ -47,6 +48,11 @@
 		Revision uint64 // at which the registry is complete
 		Synced   bool   // the registry holds a full read
 	}
+
+	// PassedOver is an entry of a read that loses to the one held.
+	PassedOver struct {
+		Read, Held Entry
+	}
 )
 
 // Get returns the live entry of key.
@@ -78,6 +84,19 @@
 	return n
 }
 
+// PassedOver returns the entries of a read that would be left out although their values differ
+// from those held, because r holds a later revision of their key.
+func (r Registry) PassedOver(entries []Entry) []PassedOver {
+	var passed []PassedOver
+	for _, e := range entries {
+		held, ok := r.entries[e.Key]
+		if ok && held.Revision >= e.Revision && (held.Deleted || !bytes.Equal(held.Value, e.Value)) {
+			passed = append(passed, PassedOver{Read: e, Held: held})
+		}
+	}
+	return passed
+}
+
 // Delta returns the delta for a peer whose registry is complete at after, or a full copy if
 // after is 0.
 func (r Registry) Delta(after uint64) Delta {
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -77,13 +77,13 @@
 		List(ctx context.Context) (platform.Listing, error)
 		// VMs reads the registered VMs, linearizably.
 		VMs(ctx context.Context) ([]sparconfig.VM, error)
-		// Revision reads the revision of the platform, linearizably.
-		Revision(ctx context.Context) (uint64, error)
+		// Position reads the position of the platform, linearizably.
+		Position(ctx context.Context) (sparregistry.Position, error)
 		// Changes reads the changes after a revision. Some may be missing.
 		Changes(ctx context.Context, after uint64) (platform.Changes, error)
 		// Put writes all entries if each is still at its revision, where 0 means absent, and
-		// otherwise none. It returns their new revision.
-		Put(ctx context.Context, entries ...sparregistry.Entry) (uint64, error)
+		// otherwise none. It returns their new position.
+		Put(ctx context.Context, entries ...sparregistry.Entry) (sparregistry.Position, error)
 		// Remove removes an entry if it is still at its revision.
 		Remove(ctx context.Context, e sparregistry.Entry) error
 		// Calls returns the number of calls made so far.
@@ -126,9 +126,10 @@
 		registration registration
 		early        []*packet // queued until the first settings
 		synced       bool
-		reachable    bool          // the last read of the platform succeeded
-		platformLost bool          // a read of the platform failed, and no fresh settings have arrived since
-		age          time.Duration // of the settings, at the last tick or datagram
+		reachable    bool                  // the last read of the platform succeeded
+		platformLost bool                  // a read of the platform failed, and no fresh settings have arrived since
+		platformAt   sparregistry.Position // of the last read of this VM
+		age          time.Duration         // of the settings, at the last tick or datagram
 		leave        sparleave.Leave
 	}
 )
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -135,11 +135,7 @@
 	s.route(4)
 	began := time.Now()
 	for _, v := range vms {
-		eventually(t, "version 4 everywhere", func() bool {
-			v.log.mu.Lock()
-			defer v.log.mu.Unlock()
-			return strings.Contains(v.log.text.String(), `"version":4`)
-		})
+		eventually(t, "version 4 everywhere", func() bool { return v.log.contains(`"version":4`) })
 	}
 	if took := time.Since(began); took > 3*time.Second {
 		t.Errorf("in force everywhere after %v, want 3 s", took)
@@ -191,12 +187,12 @@
 		_, ok := v.log.find("missing upstreams kept while the platform settles")
 		return ok
 	})
-	reached, err := v.store.Revision(t.Context())
+	reached, err := v.store.Position(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	facts, err := sparcontrol.Dial(v.file.Control, http.DefaultClient).Facts(t.Context(), &sparcontrol.FactsRequest{})
-	if err != nil || facts.Revision >= reached {
+	if err != nil || facts.Revision >= reached.Revision {
 		t.Errorf("revision %d claimed, but the upstream kept has no entry at revision %d, error %v", facts.GetRevision(), reached, err)
 	}
 	v.send(syn(serviceAddr))
@@ -204,6 +200,26 @@
 	eventually(t, "the upstream is removed in the end", func() bool { _, ok := v.log.find("upstream left"); return ok })
 }
 
+// TestRestoredPlatformIsLogged restores the platform from an older copy. The log says how far
+// it went back, and which of its entries lose to those held.
+func TestRestoredPlatformIsLogged(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	older := s.fake.Copy()
+	s.route(4)
+	eventually(t, "version 4 in force", func() bool { return v.log.contains(`"version":4`) })
+	s.fake.Restore(older)
+	eventually(t, "a log line for the lost change", func() bool {
+		fields, ok := v.log.find("platform went back")
+		return ok && fields["before_era"] == 1.0 && fields["era"] == 2.0 && fields["before"].(float64) > fields["revision"].(float64)
+	})
+	eventually(t, "a log line for the entry passed over", func() bool {
+		fields, ok := v.log.find("entries passed over, later ones are held")
+		return ok && fields["first"] == "routing" && fields["held"].(float64) > fields["revision"].(float64)
+	})
+}
+
 // TestLargeSettingsAreReadIncrementally registers many upstreams and then makes changes: with
 // a correct platform, with one that omits the latest change, and with one that has dropped
 // its history.
@@ -217,11 +233,7 @@
 	eventually(t, "ready", v.ready)
 	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
 	has := func(version int) func() bool {
-		return func() bool {
-			v.log.mu.Lock()
-			defer v.log.mu.Unlock()
-			return strings.Contains(v.log.text.String(), fmt.Sprintf(`"version":%d`, version))
-		}
+		return func() bool { return v.log.contains(fmt.Sprintf(`"version":%d`, version)) }
 	}
 	served := s.fake.BytesServed()
 	s.route(4)
@@ -291,11 +303,7 @@
 	s.grace = 6
 	first, second := s.start("vm-1"), s.start("vm-2")
 	for _, v := range []*vm{first, second} {
-		eventually(t, "both VMs are in the settings", func() bool {
-			v.log.mu.Lock()
-			defer v.log.mu.Unlock()
-			return strings.Contains(v.log.text.String(), `"vms":2`)
-		})
+		eventually(t, "both VMs are in the settings", func() bool { return v.log.contains(`"vms":2`) })
 	}
 	first.stop()
 	second.stop()
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
@@ -95,12 +96,13 @@
 }
 
 // logSettings logs the settings now in force and the entries newly left out of them.
-func (vm *VM) logSettings(before, now sparroster.Roster, source string) {
+func (vm *VM) logSettings(before, now sparroster.Roster, from origin) {
 	vm.log.WithFields(logrus.Fields{
-		"revision": now.Revision, "before": before.Revision, "version": now.Routing.Version, "source": source,
+		"revision": now.Revision, "before": before.Revision, "version": now.Routing.Version,
+		"source": from.source, "after": from.after, "era": vm.platformAt.Era,
 		"routes": len(now.Routing.Routes), "upstreams": len(now.Upstreams), "vms": len(now.VMs),
 	}).Info("settings in force")
-	vm.addEvent("in-force", "", source, int(now.Revision))
+	vm.addEvent("in-force", "", from.source, int(now.Revision))
 	known := map[sparroster.Problem]bool{}
 	for _, p := range before.Problems {
 		known[p] = true
@@ -202,10 +204,33 @@
 
 func (vm *VM) logIncompleteChanges(after uint64, c incrementalRead) {
 	vm.log.WithFields(logrus.Fields{
-		"after": after, "reached": c.reached, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
+		"after": after, "reached": c.reached.Revision, "era": c.reached.Era, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
 	}).Warn("changes incomplete, everything is read")
 }
 
+// logWentBack logs that the platform has lost changes: it was restored from an older copy.
+func (vm *VM) logWentBack(before, now sparregistry.Position) {
+	vm.log.WithFields(logrus.Fields{
+		"before_era": before.Era, "before": before.Revision, "era": now.Era, "revision": now.Revision,
+		"held": vm.registry.Revision(), "age_ms": vm.age.Milliseconds(),
+	}).Warn("platform went back")
+	vm.addEvent("platform-back", "", "", int(now.Era))
+}
+
+// logPassedOver logs the entries of a full read that this VM leaves out because it holds
+// another value at a later revision.
+func (vm *VM) logPassedOver(passed []sparregistry.PassedOver) {
+	if len(passed) == 0 {
+		return
+	}
+	vm.metrics.passedOver.Add(uint64(len(passed)))
+	first := passed[0]
+	vm.log.WithFields(logrus.Fields{
+		"entries": len(passed), "first": first.Read.Key, "revision": first.Read.Revision, "held": first.Held.Revision,
+		"deleted": first.Held.Deleted, "era": vm.platformAt.Era, "reached": vm.platformAt.Revision,
+	}).Warn("entries passed over, later ones are held")
+}
+
 func (vm *VM) logRetained(n int) {
 	vm.log.WithFields(logrus.Fields{"upstreams": n}).Warn("missing upstreams kept while the platform settles")
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -27,6 +27,7 @@
 	control    atomic.Uint64     // bytes of control datagrams sent
 	served     atomic.Uint64     // pulls of peers that were served
 	busy       atomic.Uint64     // pulls of peers that were refused because of overload
+	passedOver atomic.Uint64     // entries of full reads that were older than those held
 	counts     map[string]uint64 // totals published last
 }
 
@@ -53,6 +54,7 @@
 	m.count("control_bytes", m.control.Load())
 	m.count("served_pulls", m.served.Load())
 	m.count("busy_pulls", m.busy.Load())
+	m.count("passed_over_entries", m.passedOver.Load())
 	m.count("refused_control", m.badControl.Load())
 	m.count("early_packets", m.early.Load())
 	m.count("unread_datagrams", m.unread.Load())
@@ -60,6 +62,8 @@
 	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.queries.Refused())
 	roster := vm.engine.Roster()
 	m.set.Scope.Gauge("settings_revision").Update(float64(roster.Revision))
+	m.set.Scope.Gauge("platform_era").Update(float64(vm.platformAt.Era))
+	m.set.Scope.Gauge("platform_revision").Update(float64(vm.platformAt.Revision))
 	m.set.Scope.Gauge("settings_version").Update(float64(roster.Routing.Version))
 	m.set.Scope.Gauge("settings_age_seconds").Update(vm.age.Seconds())
 	m.set.Scope.Gauge("flows").Update(float64(vm.engine.Flows()))
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -12,6 +12,9 @@
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
+// sourcePlatform is the source of settings that this VM has read itself.
+const sourcePlatform = "platform"
+
 type (
 	// readRequest requests a read of the platform: of the registered VMs if vms is set,
 	// otherwise of what changed after a revision, where 0 requests a full read.
@@ -42,7 +45,7 @@
 	// incrementalRead is the changes after a revision.
 	incrementalRead struct {
 		platform.Changes
-		reached uint64 // revision of the platform just before the changes were read
+		reached sparregistry.Position // of the platform just before the changes were read
 	}
 
 	// listedVMs are the VMs registered in the platform.
@@ -79,8 +82,8 @@
 		full, err := vm.store.List(ctx)
 		return fullRead{full}, err
 	}
-	reached, err := vm.store.Revision(ctx)
-	if err != nil || reached == after {
+	reached, err := vm.store.Position(ctx)
+	if err != nil || reached.Revision == after {
 		return incrementalRead{reached: reached}, err
 	}
 	c, err := vm.store.Changes(ctx, after)
@@ -109,19 +112,32 @@
 		return
 	case fullRead:
 		size = r.Bytes
-		vm.adopt(vm.withFullRead(r, now), "platform")
+		vm.observe(r.At)
+		vm.logPassedOver(vm.registry.PassedOver(r.Entries))
+		vm.adopt(vm.withFullRead(r, now), origin{source: sourcePlatform})
 	case incrementalRead:
-		next, ok := vm.registry.WithChanges(r.Entries, r.Revisions, in.after, r.reached)
+		vm.observe(r.reached)
+		next, ok := vm.registry.WithChanges(r.Entries, r.Revisions, in.after, r.reached.Revision)
 		if !ok {
 			vm.logIncompleteChanges(in.after, r)
 			vm.perform(vm.sync.ReadIncomplete(now), now)
 			return
 		}
-		vm.adopt(next, "platform")
+		vm.adopt(next, origin{source: sourcePlatform, after: in.after})
 	}
 	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
 }
 
+// observe records the position of the platform that a read has shown, and logs when it has
+// gone back.
+func (vm *VM) observe(at sparregistry.Position) {
+	before := vm.platformAt
+	vm.platformAt = at
+	if before.Era > 0 && at.Era != before.Era || at.Revision < before.Revision {
+		vm.logWentBack(before, at)
+	}
+}
+
 // withFullRead returns the registry updated from a full read. After an outage of the
 // platform, entries of live upstreams may have expired; missing entries are kept for a while.
 // The registry then differs from the platform, so it keeps its previous revision, both here
@@ -129,11 +145,11 @@
 func (vm *VM) withFullRead(r fullRead, now time.Duration) sparregistry.Registry {
 	settling := vm.sync.Failing() || vm.sync.Settling(now)
 	if !settling {
-		return vm.registry.WithFullRead(r.Entries, r.Revision)
+		return vm.registry.WithFullRead(r.Entries, r.At.Revision)
 	}
 	if missing := vm.registry.Missing(sparroster.UpstreamPrefix, r.Entries); missing > 0 {
 		vm.logRetained(missing)
 		return vm.registry.WithPartial(r.Entries)
 	}
-	return vm.registry.WithFullRead(r.Entries, r.Revision)
+	return vm.registry.WithFullRead(r.Entries, r.At.Revision)
 }
--- a/internal/vm/sparentry/register.go
+++ b/internal/vm/sparentry/register.go
@@ -51,9 +51,9 @@
 
 	// wrote is the outcome of a write.
 	wrote struct {
-		write    write
-		revision uint64
-		err      error
+		write write
+		at    sparregistry.Position
+		err   error
 	}
 )
 
@@ -131,7 +131,7 @@
 			vm.logRegisterFailed(w.err)
 			return
 		}
-		vm.registration.written = w.revision
+		vm.registration.written = w.at.Revision
 	}
 }
 
@@ -145,9 +145,9 @@
 			case removal:
 				outcome.err = vm.store.Remove(ctx, w.entry)
 			case newEntries:
-				outcome.revision, outcome.err = vm.store.Put(ctx, w.entries...)
+				outcome.at, outcome.err = vm.store.Put(ctx, w.entries...)
 			case ownEntry:
-				outcome.revision, outcome.err = vm.store.Put(ctx, w.entry)
+				outcome.at, outcome.err = vm.store.Put(ctx, w.entry)
 			}
 			vm.post(ctx, outcome)
 		case <-ctx.Done():
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -34,6 +34,13 @@
 	// probed reports that a probe was answered as not ready.
 	probed struct{}
 
+	// origin is where settings come from: the platform or a peer, all of them or the changes
+	// after a revision.
+	origin struct {
+		source string
+		after  uint64
+	}
+
 	// pull is a request to a peer for its settings.
 	pull struct {
 		req   sparsync.Pull
@@ -99,7 +106,7 @@
 		vm.perform(vm.sync.PullFailed(now), now)
 	default:
 		next, complete := vm.registry.WithDelta(in.delta)
-		vm.adopt(next, from.Name)
+		vm.adopt(next, origin{source: from.Name, after: in.delta.After})
 		vm.perform(vm.sync.Pulled(from, r.Reader, in.pull.began-in.age, complete, now), now)
 	}
 }
@@ -109,7 +116,7 @@
 }
 
 // adopt replaces the registry and, if its content differs, puts the new settings in force.
-func (vm *VM) adopt(next sparregistry.Registry, source string) {
+func (vm *VM) adopt(next sparregistry.Registry, from origin) {
 	changed := next.Digest() != vm.registry.Digest() || !vm.synced
 	vm.registry = next
 	vm.sync.SetHeld(vm.held())
@@ -120,7 +127,7 @@
 	roster := before.With(next, platform.Decode)
 	vm.engine.Apply(roster)
 	vm.sync.List(roster.VMs, vm.clock.now())
-	vm.logSettings(before, roster, source)
+	vm.logSettings(before, roster, from)
 	if !vm.synced {
 		vm.synced = true
 		vm.ready.Store(vm.leave.Ready())
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -74,6 +74,13 @@
 	return nil, false
 }
 
+// contains reports whether the log contains text.
+func (l *logBuffer) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
 func newSite(t *testing.T) *site {
 	fake := sparfake.NewStore()
 	server := httptest.NewServer(fake)
