sparentry: failing test for changes hidden by a restored platform

The stand-in store is put back to an older copy without any outage; then the operator or an upstream writes at the same revisions as before.

--- /dev/null
+++ b/internal/vm/sparentry/restore_test.go
@@ -0,0 +1,125 @@
+package sparentry_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/platform/sparfake"
+)
+
+// inForceWithin is how soon a change must be in force, as the settings of the VM say.
+const inForceWithin = 3 * time.Second
+
+// manyUpstreams is a number of upstreams whose settings are read incrementally.
+const manyUpstreams = 300
+
+// within waits until holds returns true and fails the test after limit.
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+}
+
+// register writes the entry of an upstream.
+func (s *site) register(id uint64, draining bool, count int, born time.Time) (key string) {
+	key, entry := sparfake.Entry(id, "booking", "north", s.upstream.LocalAddr().String(), draining, born)
+	s.fake.Put(key, []byte(strings.Replace(string(entry), `"sequence":1`, fmt.Sprintf(`"sequence":%d`, count), 1)))
+	return key
+}
+
+// registerMany registers upstreams that nobody reaches.
+func (s *site) registerMany(n int) {
+	for i := range n {
+		key, entry := sparfake.Entry(uint64(0x9000+i), "booking", "south", "127.0.0.1:9", false, time.Now())
+		s.fake.Put(key, entry)
+	}
+}
+
+// upstreamLine reports whether a line of the log is about an upstream and contains text.
+func (v *vm) upstreamLine(id uint64, text string) func() bool {
+	return func() bool {
+		v.log.mu.Lock()
+		defer v.log.mu.Unlock()
+		for _, line := range strings.Split(v.log.text.String(), "\n") {
+			if strings.Contains(line, fmt.Sprintf(`"upstream":"%x"`, id)) && strings.Contains(line, text) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func (v *vm) version(n int) func() bool {
+	return func() bool { return v.log.contains(fmt.Sprintf(`"version":%d`, n)) }
+}
+
+// TestChangesHiddenByRestore guards against changes that never come into force because a
+// restored platform gives out their revisions a second time.
+func TestChangesHiddenByRestore(t *testing.T) {
+	const id = 0xabc
+	born := time.Now()
+	changes := []struct {
+		name   string
+		lost   func(s *site) // changes before the restore, which loses them
+		after  func(s *site) // changes after it, at the same revisions
+		before func(v *vm) func() bool
+		want   func(v *vm) func() bool
+		limit  time.Duration
+	}{
+		{
+			"operator's document",
+			func(s *site) { s.route(4); s.route(5) },
+			func(s *site) { s.route(5); s.route(6) },
+			func(v *vm) func() bool { return v.version(5) },
+			func(v *vm) func() bool { return v.version(6) },
+			inForceWithin,
+		},
+		{
+			"upstream drains",
+			func(s *site) { s.register(id, false, 1, born) },
+			func(s *site) { s.register(id, true, 2, born) },
+			func(v *vm) func() bool { return v.upstreamLine(id, "upstream listed") },
+			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":true`) },
+			inForceWithin,
+		},
+		{
+			"upstream restarts",
+			func(s *site) { s.register(id, true, 7, born) },
+			func(s *site) { s.register(id, false, 1, born.Add(time.Second)) },
+			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":true`) },
+			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":false`) },
+			inForceWithin,
+		},
+		{
+			"upstream leaves",
+			func(s *site) { s.register(id, false, 1, born) },
+			func(*site) {},
+			func(v *vm) func() bool { return v.upstreamLine(id, "upstream listed") },
+			func(v *vm) func() bool { return v.upstreamLine(id, "upstream left") },
+			inForceWithin + 3*time.Second, // a missing entry is given time to come back
+		},
+	}
+	for _, c := range changes {
+		for _, upstreams := range []int{0, manyUpstreams} {
+			t.Run(fmt.Sprintf("%s, %d upstreams", c.name, 1+upstreams), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t)
+				s.registerMany(upstreams)
+				v := s.start("vm-1")
+				eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+				older := s.fake.Copy()
+				c.lost(s)
+				eventually(t, "in force before the restore", c.before(v))
+				s.fake.Restore(older)
+				c.after(s)
+				within(t, c.limit, "in force after the restore", c.want(v))
+			})
+		}
+	}
+}
