--- a/internal/member/sparsync/output.go
+++ b/internal/member/sparsync/output.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 type (
@@ -14,9 +15,9 @@
 	}
 
 	// Read requests a read of the platform: an incremental read of the changes after a
-	// revision, or a full read if After is 0.
+	// position, or a full read if After is zero.
 	Read struct {
-		After uint64
+		After sparregistry.Position
 	}
 
 	// ListVMs requests the list of VMs registered at the platform. Its result goes to
@@ -27,7 +28,7 @@
 	// or PullFailed.
 	Pull struct {
 		From  sparconfig.VM
-		After uint64 // revision after which changes are pulled, 0 for a full copy
+		After sparregistry.Position // after which changes are pulled, zero for a full copy
 	}
 
 	// SendQuery sends a query to a peer.
@@ -68,15 +69,15 @@
 		Name string
 	}
 
-	// Notification says that the settings of a VM at Revision were complete Age
+	// Notification says that the settings of a VM at a position were complete Age
 	// ago. From is the VM to pull them from.
 	Notification struct {
-		From     sparconfig.VM
-		Reader   string // the VM that read the platform
-		Round    uint64 // counts the reads of Reader
-		Revision uint64
-		Digest   uint64
-		Age      time.Duration
+		From   sparconfig.VM
+		Reader string // the VM that read the platform
+		Round  uint64 // counts the reads of Reader
+		At     sparregistry.Position
+		Digest uint64
+		Age    time.Duration
 	}
 )
 
--- a/internal/member/sparsync/pull.go
+++ b/internal/member/sparsync/pull.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 const (
@@ -72,9 +73,9 @@
 		s.deferred = n
 		return nil
 	}
-	after := s.held.Revision
-	if !s.Synced() {
-		after = 0
+	after := s.held.At
+	if !s.Synced() || after.Revision == 0 || after.Era != n.At.Era {
+		after = sparregistry.Position{}
 	}
 	s.target = target{
 		readRound: readRound{n.Reader, n.Round}, digest: n.Digest, freshAt: now - n.Age,
@@ -87,7 +88,7 @@
 // startPull records that a pull is under way, with its deadline.
 func (s *Sync) startPull(p Pull, now time.Duration) Output {
 	s.pulling, s.pullDeadline = true, now+deltaTimeout
-	if p.After == 0 {
+	if p.After.IsZero() {
 		s.pullDeadline = now + fullTimeout
 	}
 	return p
@@ -114,7 +115,7 @@
 		return nil
 	}
 	s.deferred = Notification{}
-	if n.Digest == s.held.Digest || s.Synced() && n.Revision < s.held.Revision {
+	if n.Digest == s.held.Digest || s.Synced() && n.At.Compare(s.held.At) < 0 {
 		return nil
 	}
 	n.Age += now
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -40,15 +40,15 @@
 }
 
 // read requests a read, an incremental one where a full read each time would exceed
-// controlRate. After a failure, and until the platform has settled, reads are full: an
-// entry that this VM keeps for a while may have expired, and only a full read shows whether
-// it is still missing.
+// controlRate. After a failure or a restore, and until the platform has settled, reads are
+// full: an entry that this VM keeps for a while may have expired, and only a full read shows
+// whether it is still missing.
 func (s *Sync) read(now time.Duration) Output {
 	budget := int(controlRate * s.share(readShare).Seconds())
-	if !s.Synced() || s.failing || s.Settling(now) || s.size <= budget {
+	if !s.Synced() || s.failing || s.Settling(now) || s.held.At.Revision == 0 || s.size <= budget {
 		return Read{}
 	}
-	return Read{After: s.held.Revision}
+	return Read{After: s.held.At}
 }
 
 // ReadDone is called when a read that began at began has succeeded and held is what the
--- a/internal/member/sparsync/reader_test.go
+++ b/internal/member/sparsync/reader_test.go
@@ -41,11 +41,11 @@
 // TestFullReadAfterAnOutage checks that a reader does not read incrementally while entries
 // that have expired during an outage may come back.
 func TestFullReadAfterAnOutage(t *testing.T) {
-	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second, beat)
 	s.Tick(1)
 	now := 10 * time.Millisecond
-	s.ReadDone(1, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
-	s.SetHeld(sparsync.Held{Revision: 7, Digest: 42})
+	s.ReadDone(1, sparsync.Held{At: at(7), Digest: 42}, largeSettings, now)
+	s.SetHeld(sparsync.Held{At: at(7), Digest: 42})
 	next := func() sparsync.Read {
 		for range 1000 {
 			now += 50 * time.Millisecond
@@ -58,20 +58,20 @@
 		t.Fatal("no read")
 		return sparsync.Read{}
 	}
-	if r := next(); r.After != 7 {
+	if r := next(); r.After != at(7) {
 		t.Errorf("reads changes after %d, want 7", r.After)
 	}
 	s.ReadFailed(now)
-	if r := next(); r.After != 0 {
+	if r := next(); !r.After.IsZero() {
 		t.Errorf("after a failure: reads changes after %d, want a full read", r.After)
 	}
-	s.ReadDone(now, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
-	if r := next(); r.After != 0 {
+	s.ReadDone(now, sparsync.Held{At: at(7), Digest: 42}, largeSettings, now)
+	if r := next(); !r.After.IsZero() {
 		t.Errorf("while the platform settles: reads changes after %d, want a full read", r.After)
 	}
-	s.ReadDone(now, sparsync.Held{Revision: 7, Digest: 42}, largeSettings, now)
+	s.ReadDone(now, sparsync.Held{At: at(7), Digest: 42}, largeSettings, now)
 	now += 3 * time.Second
-	if r := next(); r.After != 7 {
+	if r := next(); r.After != at(7) {
 		t.Errorf("once it has settled: reads changes after %d, want 7", r.After)
 	}
 }
@@ -79,30 +79,30 @@
 // TestChangesThatDoNotSuffice pulls from a peer that has started recently. Its changes leave
 // this VM at the revision that it had, so a full copy must be pulled at once.
 func TestChangesThatDoNotSuffice(t *testing.T) {
-	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second, beat)
 	s.Tick(1)
 	now := 10 * time.Millisecond
-	s.ReadDone(1, sparsync.Held{Revision: 7, Digest: 42}, smallSettings, now)
+	s.ReadDone(1, sparsync.Held{At: at(7), Digest: 42}, smallSettings, now)
 	peer := sparconfig.VM{Name: "vm-2", Control: "10.0.0.2:1"}
 	after := func(outs []sparsync.Output) uint64 {
 		t.Helper()
 		for _, out := range outs {
 			if pull, ok := out.(sparsync.Pull); ok {
-				return pull.After
+				return pull.After.Revision
 			}
 		}
 		t.Fatalf("no pull among %v", outs)
 		return 0
 	}
-	outs := s.Notified(sparsync.Notification{From: peer, Reader: "vm-2", Round: 1, Revision: 9, Digest: 43}, now)
+	outs := s.Notified(sparsync.Notification{From: peer, Reader: "vm-2", Round: 1, At: at(9), Digest: 43}, now)
 	if got := after(outs); got != 7 {
 		t.Errorf("pulls changes after %d, want 7", got)
 	}
-	s.SetHeld(sparsync.Held{Revision: 7, Digest: 41})
+	s.SetHeld(sparsync.Held{At: at(7), Digest: 41})
 	if got := after(s.Pulled(peer, "vm-2", now, false, now)); got != 0 {
 		t.Errorf("then pulls changes after %d, want a full copy", got)
 	}
-	s.SetHeld(sparsync.Held{Revision: 9, Digest: 43})
+	s.SetHeld(sparsync.Held{At: at(9), Digest: 43})
 	for _, out := range s.Pulled(peer, "vm-2", now, true, now) {
 		if _, ok := out.(sparsync.Pull); ok {
 			t.Error("pulls again after a full copy")
@@ -148,12 +148,12 @@
 // that a first read takes seconds. Once it takes longer than usual, settings must be pulled
 // from a peer, one pull at a time.
 func TestSlowFirstRead(t *testing.T) {
-	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second, beat)
 	peer := sparconfig.VM{Name: "vm-2", Control: "10.0.0.2:1"}
 	now := time.Millisecond
 	s.Tick(now)
 	pulls := func() (n int) {
-		outs := s.Notified(sparsync.Notification{From: peer, Reader: "vm-2", Round: 1, Revision: 9, Digest: 43}, now)
+		outs := s.Notified(sparsync.Notification{From: peer, Reader: "vm-2", Round: 1, At: at(9), Digest: 43}, now)
 		for _, out := range append(outs, s.Tick(now)...) {
 			if _, ok := out.(sparsync.Pull); ok {
 				n++
--- a/internal/member/sparsync/register_test.go
+++ b/internal/member/sparsync/register_test.go
@@ -21,11 +21,11 @@
 	registered := map[string]int{}
 	writes := 0
 	for _, seed := range seeds {
-		s := sparsync.New(seed, bound)
+		s := sparsync.New(seed, bound, beat)
 		s.Seeds(controls)
 		now := time.Millisecond
 		s.Tick(now)
-		s.ReadDone(now, sparsync.Held{Revision: 1, Digest: 1}, smallSettings, now)
+		s.ReadDone(now, sparsync.Held{At: at(1), Digest: 1}, smallSettings, now)
 		s.List([]sparconfig.VM{{Name: "vm-7", Data: "10.1.0.1:1", Control: "10.1.0.7:2"}}, now)
 		for i := range 300 {
 			vm := sparconfig.VM{Name: fmt.Sprintf("vm-%d", i), Data: "10.1.0.1:1", Control: fmt.Sprintf("10.1.%d.%d:2", i/250, i%250+1)}
--- a/internal/member/sparsync/serve.go
+++ b/internal/member/sparsync/serve.go
@@ -27,21 +27,21 @@
 	next    int             // rotates the holders that peers are referred to
 }
 
-// Serve reports whether to serve the pull of a peer: the changes after a revision, or a full
-// copy if after is 0. If ok, the caller must call Served afterwards. Otherwise referral is a
+// Serve reports whether to serve the pull of a peer: a full copy, or the changes after a
+// position. If ok, the caller must call Served afterwards. Otherwise referral is a
 // peer that holds the same settings, or the zero VM if none is on record.
-func (s *Sync) Serve(to sparconfig.VM, after uint64) (referral sparconfig.VM, ok bool) {
-	if s.atLimit(after) {
+func (s *Sync) Serve(to sparconfig.VM, full bool) (referral sparconfig.VM, ok bool) {
+	if s.atLimit(full) {
 		return s.holder(to), false
 	}
-	*s.active(after)++
+	*s.active(full)++
 	return sparconfig.VM{}, true
 }
 
 // Served ends a pull that Serve admitted. digest is that of the settings sent; complete
 // reports whether the peer received all of them.
-func (s *Sync) Served(to sparconfig.VM, after, digest uint64, complete bool) {
-	*s.active(after)--
+func (s *Sync) Served(to sparconfig.VM, full bool, digest uint64, complete bool) {
+	*s.active(full)--
 	if !complete || to.Name == "" || digest != s.held.Digest {
 		return
 	}
@@ -56,16 +56,16 @@
 }
 
 // active returns the counter of the pulls of the same kind that are being served.
-func (s *Sync) active(after uint64) *int {
-	if after == 0 {
+func (s *Sync) active(full bool) *int {
+	if full {
 		return &s.serving.full
 	}
 	return &s.serving.deltas
 }
 
 // atLimit reports whether no more pulls of the same kind may be served now.
-func (s *Sync) atLimit(after uint64) bool {
-	if after == 0 {
+func (s *Sync) atLimit(full bool) bool {
+	if full {
 		return s.serving.full >= maxFullPulls
 	}
 	return s.serving.deltas >= maxDeltaPulls
@@ -100,7 +100,7 @@
 // none, a Confirm makes the peer query again later.
 func (s *Sync) refer(to sparconfig.VM, now time.Duration) []Output {
 	n := s.notification(now)
-	if s.atLimit(0) {
+	if s.atLimit(true) {
 		if n.From = s.holder(to); n.From.Name == "" {
 			return []Output{Confirm{To: to}}
 		}
--- a/internal/member/sparsync/sim_test.go
+++ b/internal/member/sparsync/sim_test.go
@@ -10,15 +10,19 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 const (
 	step         = 10 * time.Millisecond
-	bound        = 3 * time.Second  // within which settings must be in force, at present sites
-	largeBound   = 20 * time.Second // at the size expected in two years
+	bound        = 3 * time.Second         // within which settings must be in force, at present sites
+	largeBound   = 20 * time.Second        // at the size expected in two years
+	beat         = 1200 * time.Millisecond // between two heartbeats of an upstream
 	oneWay       = 2 * time.Millisecond
 	callTime     = 8 * time.Millisecond
-	callTimeout  = 900 * time.Millisecond // of a platform that does not respond
+	eraStep      = 1_000_000               // numbers of an era
+	keepTime     = 2500 * time.Millisecond // for which a VM keeps entries of an earlier era
+	callTimeout  = 900 * time.Millisecond  // of a platform that does not respond
 	tickInterval = 50 * time.Millisecond
 
 	smallSettings = 4_000     // bytes; each read is a full read
@@ -35,7 +39,7 @@
 
 type (
 	// sim simulates VMs, the platform and the network between them. Settings are
-	// represented by their revision alone.
+	// represented by a number alone, which gives their position, see at.
 	sim struct {
 		t            *testing.T
 		rng          *rand.Rand
@@ -64,6 +68,7 @@
 		vm          sparconfig.VM
 		sync        *sparsync.Sync
 		held        uint64
+		keptSince   time.Duration // when it entered an era that follows another one
 		incarnation int
 		running     bool
 		ticked      time.Duration
@@ -86,6 +91,11 @@
 	}
 )
 
+// at returns the position that a number stands for.
+func at(number uint64) sparregistry.Position {
+	return sparregistry.Position{Era: 1 + number/eraStep, Revision: number % eraStep}
+}
+
 func newSim(t *testing.T, n int) *sim { return newBoundSim(t, n, bound) }
 
 func newBoundSim(t *testing.T, n int, bound time.Duration) *sim {
@@ -103,8 +113,9 @@
 func (m *member) start() {
 	m.incarnation++
 	m.running, m.held, m.healthySince, m.readyAt, m.serving, m.listVersion = true, 0, m.sim.now, 0, 0, 0
+	m.keptSince = 0
 	m.ticked = m.sim.now - time.Duration(m.sim.rng.IntN(int(tickInterval)))
-	m.sync = sparsync.New(m.vm, m.sim.bound)
+	m.sync = sparsync.New(m.vm, m.sim.bound, beat)
 	var seeds []string
 	for _, seed := range m.sim.vms[:min(3, len(m.sim.vms))] {
 		seeds = append(seeds, seed.vm.Control)
@@ -168,6 +179,13 @@
 // change raises the revision of the platform.
 func (s *sim) change() { s.revision, s.changed = s.revision+1, s.now }
 
+// restore puts the platform back by a number of revisions, in its next era. Its writers then
+// write again what is lost.
+func (s *sim) restore(revisions uint64) {
+	s.revision += eraStep - min(revisions, s.revision%eraStep-1)
+	s.change()
+}
+
 func (s *sim) reachable(a, b *member) bool { return a.partition == b.partition && b.running }
 
 func (s *sim) find(vm sparconfig.VM) *member {
@@ -237,8 +255,8 @@
 	s.schedule(m, callTime, func() { m.perform(m.sync.VMsListed(s.vmList(), s.now)) })
 }
 
-// read reads the platform: fully if after is 0, otherwise the changes after that revision.
-func (m *member) read(after uint64) {
+// read reads the platform: fully if after is zero, otherwise the changes after that position.
+func (m *member) read(after sparregistry.Position) {
 	s := m.sim
 	s.calls++
 	began := s.now
@@ -255,15 +273,15 @@
 		}
 		s.schedule(m, took, func() {
 			s.read += changeSize
-			if after > 0 && after < s.revision {
+			if !after.IsZero() && after.Compare(at(s.revision)) < 0 {
 				s.calls++
 			}
-			if after > 0 && after < s.revision && s.withholding {
+			if !after.IsZero() && (after.Era != at(s.revision).Era || after.Compare(at(s.revision)) < 0 && s.withholding) {
 				m.perform(m.sync.ReadIncomplete(s.now))
 				return
 			}
 			size := 0
-			if after == 0 {
+			if after.IsZero() {
 				size = s.size
 				s.read += size
 			}
@@ -275,8 +293,8 @@
 
 // readTime returns how long a read takes. It reports false if one of its calls would take
 // longer than callTimeout.
-func (s *sim) readTime(after uint64) (took time.Duration, ok bool) {
-	if !s.slowLinks || after > 0 {
+func (s *sim) readTime(after sparregistry.Position) (took time.Duration, ok bool) {
+	if !s.slowLinks || !after.IsZero() {
 		return callTime, true
 	}
 	s.linkFree = max(s.linkFree, s.now) + transferTime(platformRate, s.size)
@@ -293,7 +311,7 @@
 func (m *member) pull(pull sparsync.Pull) {
 	s := m.sim
 	from := s.find(pull.From)
-	if pull.After == 0 {
+	if pull.After.IsZero() {
 		s.fullPulls++
 	}
 	if !s.reachable(m, from) {
@@ -305,7 +323,7 @@
 		if !from.sync.Synced() {
 			return
 		}
-		referral, ok := from.sync.Serve(m.vm, pull.After)
+		referral, ok := from.sync.Serve(m.vm, pull.After.IsZero())
 		if !ok {
 			s.schedule(m, oneWay, func() { m.perform(m.sync.PullRefused(from.vm, referral, s.now)) })
 			return
@@ -317,14 +335,14 @@
 // serve sends the settings of m to a peer.
 func (m *member) serve(to *member, pull sparsync.Pull, began time.Duration) {
 	s := m.sim
-	if pull.After == 0 {
+	if pull.After.IsZero() {
 		m.serving++
 		s.busiest = max(s.busiest, m.serving)
 	}
 	took := time.Duration(0)
 	if s.slowLinks {
 		size := changeSize
-		if pull.After == 0 {
+		if pull.After.IsZero() {
 			size = s.size / compression
 		}
 		m.linkFree = max(m.linkFree, s.now) + transferTime(linkRate, size)
@@ -333,10 +351,10 @@
 	held, age, reader := m.held, m.sync.Age(s.now), m.sync.Reader()
 	timedOut := s.now+took-began > pullTimeout
 	s.schedule(m, min(took, pullTimeout), func() {
-		if pull.After == 0 {
+		if pull.After.IsZero() {
 			m.serving--
 		}
-		m.sync.Served(to.vm, pull.After, held, !timedOut)
+		m.sync.Served(to.vm, pull.After.IsZero(), held, !timedOut)
 	})
 	if timedOut {
 		s.schedule(to, pullTimeout, func() { to.perform(to.sync.PullFailed(s.now)) })
@@ -348,9 +366,20 @@
 	})
 }
 
-func (m *member) heldSettings() sparsync.Held { return sparsync.Held{Revision: m.held, Digest: m.held} }
+// heldSettings returns what m holds. It is complete at no revision while entries are kept.
+func (m *member) heldSettings() sparsync.Held {
+	held := sparsync.Held{At: at(m.held), Digest: m.held}
+	if m.keptSince > 0 && m.sim.now-m.keptSince < keepTime {
+		held.At.Revision = 0
+	}
+	return held
+}
 
 func (m *member) adopt(revision uint64) {
+	if m.held > 0 && at(revision).Era > at(m.held).Era {
+		m.keptSince = m.sim.now
+		m.sync.Restored(m.sim.now)
+	}
 	m.held = max(m.held, revision)
 	if m.readyAt == 0 {
 		m.readyAt = m.sim.now
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -9,7 +9,7 @@
 // A Sync does no I/O and reads no clock. The clock passed to it must keep running
 // while the VM is suspended, so that the settings age meanwhile:
 //
-//	s := sparsync.New(self, bound)
+//	s := sparsync.New(self, bound, beat)
 //	for _, out := range s.Tick(now) {
 //		switch out := out.(type) {
 //		case sparsync.Read:
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
 
@@ -50,6 +51,9 @@
 	// settleTime is how long entries may be missing after the platform has recovered: the
 	// time upstreams need to register again, and one read.
 	settleTime = 2500 * time.Millisecond
+	// silentBeats is the number of missed heartbeats after which the platform removes the
+	// entry of an upstream. Those of upstreams that are gone come back with a restore.
+	silentBeats = 3
 )
 
 var (
@@ -60,22 +64,24 @@
 )
 
 type (
-	// Held identifies the content of a registry by revision and digest.
+	// Held identifies the content of a registry by position and digest. The revision is 0 while
+	// entries of earlier eras are kept.
 	Held struct {
-		Revision uint64
-		Digest   uint64
+		At     sparregistry.Position
+		Digest uint64
 	}
 
 	// Sync is the state of one VM. Use New to create it.
 	Sync struct {
-		self    sparconfig.VM
-		bound   time.Duration
-		state   sparchart.State
-		held    Held
-		freshAt time.Duration // when the settings were last known to be complete, 0 before the first
-		peers   map[string]*peer
-		seeds   []*peer
-		orders  map[int][]string // cached results of names, by slot
+		self      sparconfig.VM
+		bound     time.Duration
+		doubtTime time.Duration // how long the platform may show what a restore has brought back
+		state     sparchart.State
+		held      Held
+		freshAt   time.Duration // when the settings were last known to be complete, 0 before the first
+		peers     map[string]*peer
+		seeds     []*peer
+		orders    map[int][]string // cached results of names, by slot
 
 		source       readRound     // of the read that freshAt stems from
 		rounds       uint64        // successful reads of this VM
@@ -86,6 +92,7 @@
 		backoff      time.Duration
 		failing      bool
 		recoveredAt  time.Duration            // when the platform answered again after a failure
+		restoredAt   time.Duration            // when a new era of the platform was first seen
 		outages      map[string]time.Duration // when the platform failed to answer a VM
 		target       target
 		current      Notification  // notification that the pull under way follows; its age is relative to time 0
@@ -109,10 +116,10 @@
 )
 
 // New returns the state of the VM self. Settings must be in force everywhere within
-// bound of their acknowledgement.
-func New(self sparconfig.VM, bound time.Duration) *Sync {
+// bound of their acknowledgement, and upstreams write to the platform at intervals of beat.
+func New(self sparconfig.VM, bound, beat time.Duration) *Sync {
 	return &Sync{
-		self: self, bound: bound, state: chart.Start(), backoff: minBackoff, start: start{seed: true},
+		self: self, bound: bound, doubtTime: max(settleTime, silentBeats*beat+time.Duration(readShare*float64(bound))), state: chart.Start(), backoff: minBackoff, start: start{seed: true},
 		peers: map[string]*peer{}, orders: map[int][]string{}, outages: map[string]time.Duration{},
 	}
 }
@@ -137,12 +144,21 @@
 // Failing reports whether the last read of the platform, or listing of VMs, failed.
 func (s *Sync) Failing() bool { return s.failing }
 
-// Settling reports whether the platform has recovered so recently that it may lack
-// entries of writers that still run.
+// Settling reports whether the platform has recovered, or was restored, so recently that it
+// may lack entries of writers that still run.
 func (s *Sync) Settling(now time.Duration) bool {
 	return s.recoveredAt > 0 && now-s.recoveredAt < settleTime
 }
 
+// Restored is called when a new era of the platform is first seen.
+func (s *Sync) Restored(now time.Duration) { s.recoveredAt, s.restoredAt = now, now }
+
+// Doubting reports whether the platform was restored so recently that it may still show
+// entries of writers that are gone, or values that their writers have replaced.
+func (s *Sync) Doubting(now time.Duration) bool {
+	return s.restoredAt > 0 && now-s.restoredAt < s.doubtTime
+}
+
 // SetHeld sets what the registry holds now. If that is what the pull under way was to bring,
 // the settings are as fresh as its notification said.
 func (s *Sync) SetHeld(held Held) {
@@ -163,7 +179,7 @@
 	switch {
 	case s.Synced() && n.Digest == s.held.Digest:
 		s.markFresh(now-n.Age, readRound{n.Reader, n.Round})
-	case !s.Synced() || n.Revision >= s.held.Revision:
+	case !s.Synced() || n.At.Compare(s.held.At) >= 0:
 		return append(outs, s.pull(n, now)...)
 	}
 	return append(outs, s.forward(now)...)
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -11,13 +11,13 @@
 
 // ExampleSync starts a VM without seeds, which reads the platform at once.
 func ExampleSync() {
-	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second)
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second, beat)
 	for _, out := range s.Tick(time.Millisecond) {
 		if _, ok := out.(sparsync.Read); ok {
 			fmt.Println("read")
 		}
 	}
-	s.ReadDone(time.Millisecond, sparsync.Held{Revision: 7, Digest: 42}, 4000, 9*time.Millisecond)
+	s.ReadDone(time.Millisecond, sparsync.Held{At: at(7), Digest: 42}, 4000, 9*time.Millisecond)
 	fmt.Println(s.State(), s.Fresh(time.Second), s.Fresh(2*time.Second))
 	// Output:
 	// read
@@ -99,6 +99,44 @@
 	}
 }
 
+// TestRestoreStopsTheSpread guards against VMs that stay with the settings of an earlier era
+// when the platform is restored from an older copy: with and without an outage, beside a killed
+// reader, and again before all have settled.
+func TestRestoreStopsTheSpread(t *testing.T) {
+	for _, one := range []struct {
+		n, size int
+	}{{8, smallSettings}, {90, smallSettings}, {90, largeSettings}, {300, largeSettings}} {
+		t.Run(fmt.Sprintf("%d VMs, %d bytes", one.n, one.size), func(t *testing.T) {
+			s := newSim(t, one.n)
+			s.size = one.size
+			s.churn(6 * time.Second)
+			s.restore(5)
+			s.churn(4 * time.Second)
+			r := s.reader()
+			r.kill()
+			s.restore(2)
+			s.run(time.Second)
+			s.restore(1)
+			s.churn(6 * time.Second)
+			r.start()
+			for _, m := range s.vms {
+				m.refused = true
+			}
+			s.run(2 * time.Second)
+			s.restore(4)
+			for _, m := range s.vms {
+				m.refused, m.healthySince = false, s.now
+			}
+			s.churn(6 * time.Second)
+			s.fullPulls = 0
+			s.churn(4 * time.Second)
+			if s.fullPulls > one.n/8 {
+				t.Errorf("%d full copies are pulled once all have settled", s.fullPulls)
+			}
+		})
+	}
+}
+
 func TestReaderSuspended(t *testing.T) {
 	s := newSim(t, 8)
 	s.churn(5 * time.Second)
@@ -194,9 +232,9 @@
 }
 
 func TestSettling(t *testing.T) {
-	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, bound)
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, bound, beat)
 	s.ReadFailed(time.Second)
-	s.ReadDone(2*time.Second, sparsync.Held{Revision: 1}, smallSettings, 2*time.Second)
+	s.ReadDone(2*time.Second, sparsync.Held{At: at(1)}, smallSettings, 2*time.Second)
 	for _, c := range []struct {
 		after time.Duration
 		want  bool
@@ -210,14 +248,14 @@
 // TestReplacedVMsAreForgotten replaces the registered VM each minute and checks that removed
 // VMs do not delay a takeover: the only VM left reads as soon as its settings are old.
 func TestReplacedVMsAreForgotten(t *testing.T) {
-	s := sparsync.New(sparconfig.VM{Name: "vm-0"}, bound)
+	s := sparsync.New(sparconfig.VM{Name: "vm-0"}, bound, beat)
 	now := time.Second
 	for n := range 200 {
 		now += time.Minute
 		s.List([]sparconfig.VM{{Name: fmt.Sprintf("other-%d", n)}}, now)
 	}
 	s.List(nil, now)
-	s.ReadDone(now, sparsync.Held{Revision: 1, Digest: 1}, smallSettings, now)
+	s.ReadDone(now, sparsync.Held{At: at(1), Digest: 1}, smallSettings, now)
 	for _, out := range s.Tick(now + bound/2) {
 		if _, ok := out.(sparsync.Read); ok {
 			return
--- a/internal/member/sparsync/tree.go
+++ b/internal/member/sparsync/tree.go
@@ -60,7 +60,7 @@
 func (s *Sync) notification(now time.Duration) Notification {
 	return Notification{
 		From: s.self, Reader: s.source.reader, Round: s.source.round,
-		Revision: s.held.Revision, Digest: s.held.Digest, Age: s.Age(now),
+		At: s.held.At, Digest: s.held.Digest, Age: s.Age(now),
 	}
 }
 
--- a/internal/peer/sparcontrol/codec_test.go
+++ b/internal/peer/sparcontrol/codec_test.go
@@ -15,7 +15,7 @@
 // TestDatagrams encodes and decodes the messages between VMs of the cookie carrier.
 func TestDatagrams(t *testing.T) {
 	vm := sparconfig.VM{Name: "vm-1", Domain: "north", Data: "10.1.0.1:1", Control: "10.1.0.1:2", State: sparconfig.Live}
-	notification := sparsync.Notification{From: vm, Reader: "vm-2", Round: 3, Revision: 4, Digest: 5, Age: 6 * time.Millisecond}
+	notification := sparsync.Notification{From: vm, Reader: "vm-2", Round: 3, At: sparregistry.Position{Era: 2, Revision: 4}, Digest: 5, Age: 6 * time.Millisecond}
 	query := sparsync.Query{From: vm, Synced: true, Age: 7 * time.Millisecond}
 	departure := sparleave.Departure{From: "vm-1", Refusing: true}
 	tests := []struct {
@@ -57,19 +57,24 @@
 // TestDeltas encodes and decodes a full copy and deltas of a registry. A delta must also
 // remove a deleted key at the receiver.
 func TestDeltas(t *testing.T) {
+	at := func(revision uint64) sparregistry.Position { return sparregistry.Position{Era: 2, Revision: revision} }
+	stamp := sparregistry.Stamp{Start: 8, Count: 9}
 	registry := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{
-		{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("2"), Revision: 5},
-	}, 6).With(sparregistry.Entry{Key: "a", Revision: 7, Deleted: true})
+		{Key: "a", Value: []byte("1"), Era: 2, Revision: 3, Stamp: stamp}, {Key: "b", Value: []byte("2"), Era: 2, Revision: 5, Stamp: stamp},
+	}, at(6)).With(sparregistry.Entry{Key: "a", Era: 2, Revision: 7, Deleted: true})
 	for _, after := range []uint64{0, 4, 7} {
-		want := registry.Delta(after)
+		want := registry.Delta(at(after))
+		if len(want.Entries) == 0 {
+			want.Entries = nil
+		}
 		got, err := sparcontrol.DecodeDelta(sparcontrol.EncodeDelta(want))
 		if err != nil {
 			t.Fatal(err)
 		}
 		follower, complete := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{
-			{Key: "a", Value: []byte("1"), Revision: 3},
-		}, 4).WithDelta(got)
-		if got.Base != want.Base || got.After != after || got.Revision != want.Revision || len(got.Entries) != len(want.Entries) {
+			{Key: "a", Value: []byte("1"), Era: 2, Revision: 3},
+		}, at(4)).WithDelta(got)
+		if !reflect.DeepEqual(got, want) {
 			t.Errorf("after %d: %+v, want %+v", after, got, want)
 		}
 		if _, held := follower.Get("a"); after == 4 && (!complete || held || follower.Digest() != registry.Digest()) {
@@ -99,7 +104,7 @@
 func TestDamagedDeltas(t *testing.T) {
 	whole := sparcontrol.EncodeDelta(sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{
 		{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("2"), Revision: 5},
-	}, 6).Delta(0))
+	}, sparregistry.Position{Revision: 6}).Delta(sparregistry.Position{}))
 	for n := range whole {
 		if got, err := sparcontrol.DecodeDelta(whole[:n]); err == nil {
 			t.Errorf("the first %d of %d bytes are decoded as %+v, want an error", n, len(whole), got)
--- a/internal/peer/sparcontrol/delta.go
+++ b/internal/peer/sparcontrol/delta.go
@@ -16,7 +16,8 @@
 // a fleet are alike, so they compress to a fraction of their size.
 func EncodeDelta(d sparregistry.Delta) []byte {
 	return s2.Encode(nil, marshal(&Share{
-		After: d.After, Entries: convert(d.Entries, fromEntry), Base: d.Base, Revision: d.Revision, Synced: d.Synced,
+		After: d.After.Revision, Afterera: d.After.Era, Entries: convert(d.Entries, fromEntry), Base: d.Base,
+		Revision: d.At.Revision, Era: d.At.Era, Synced: d.Synced,
 	}))
 }
 
@@ -44,14 +45,22 @@
 		return sparregistry.Delta{}, err
 	}
 	return sparregistry.Delta{
-		After: m.After, Entries: convert(m.Entries, toEntry), Base: m.Base, Revision: m.Revision, Synced: m.Synced,
+		After:   sparregistry.Position{Era: m.Afterera, Revision: m.After},
+		Entries: convert(m.Entries, toEntry), Base: m.Base,
+		At: sparregistry.Position{Era: m.Era, Revision: m.Revision}, Synced: m.Synced,
 	}, nil
 }
 
 func fromEntry(e sparregistry.Entry) *Entry {
-	return &Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	return &Entry{
+		Key: e.Key, Value: e.Value, Era: e.Era, Revision: e.Revision, Deleted: e.Deleted,
+		Start: e.Stamp.Start, Count: e.Stamp.Count,
+	}
 }
 
 func toEntry(e *Entry) sparregistry.Entry {
-	return sparregistry.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	return sparregistry.Entry{
+		Key: e.Key, Value: e.Value, Era: e.Era, Revision: e.Revision, Deleted: e.Deleted,
+		Stamp: sparregistry.Stamp{Start: e.Start, Count: e.Count},
+	}
 }
--- a/internal/peer/sparcontrol/fuzz_test.go
+++ b/internal/peer/sparcontrol/fuzz_test.go
@@ -15,7 +15,7 @@
 // name and no negative age, which would be a time in the future.
 func FuzzDecode(f *testing.F) {
 	vm := sparconfig.VM{Name: "vm-1", Domain: "north", Data: "10.1.0.1:1", Control: "10.1.0.1:2"}
-	f.Add(sparcontrol.EncodeNotification(sparsync.Notification{From: vm, Reader: "vm-2", Round: 3, Revision: 4, Digest: 5, Age: time.Second}))
+	f.Add(sparcontrol.EncodeNotification(sparsync.Notification{From: vm, Reader: "vm-2", Round: 3, At: sparregistry.Position{Revision: 4}, Digest: 5, Age: time.Second}))
 	f.Add(sparcontrol.EncodeQuery(sparsync.Query{From: vm, Synced: true, Age: time.Second, Outages: []sparsync.Outage{{VM: "vm-3", Age: time.Second}}}))
 	f.Add(sparcontrol.EncodeReceipt(vm))
 	f.Add(sparcontrol.EncodeDeparture(sparleave.Departure{From: "vm-1", Refusing: true}))
@@ -46,7 +46,7 @@
 func FuzzDecodeDelta(f *testing.F) {
 	f.Add(sparcontrol.EncodeDelta(sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{
 		{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("2"), Revision: 5},
-	}, 6).Delta(0)))
+	}, sparregistry.Position{Revision: 6}).Delta(sparregistry.Position{})))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		s, err := sparcontrol.DecodeDelta(b)
 		if err == nil {
--- a/internal/peer/sparcontrol/notification.go
+++ b/internal/peer/sparcontrol/notification.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 // maxAge is the largest age accepted from a peer: longer than any VM runs.
@@ -39,7 +40,7 @@
 func EncodeNotification(n sparsync.Notification) []byte {
 	return marshal(&Datagram{Body: &Datagram_Notice{Notice: &Notice{
 		From: FromVM(n.From), Reader: n.Reader, Round: n.Round,
-		Revision: n.Revision, Digest: n.Digest, Age: uint64(n.Age.Microseconds()),
+		Era: n.At.Era, Revision: n.At.Revision, Digest: n.Digest, Age: uint64(n.Age.Microseconds()),
 	}}})
 }
 
@@ -61,7 +62,8 @@
 	}
 	age, err := ToAge(n.Age)
 	return ReceivedNotification{Notification: sparsync.Notification{
-		From: vm, Reader: n.Reader, Round: n.Round, Revision: n.Revision, Digest: n.Digest, Age: age,
+		From: vm, Reader: n.Reader, Round: n.Round,
+		At: sparregistry.Position{Era: n.Era, Revision: n.Revision}, Digest: n.Digest, Age: age,
 	}}, err
 }
 
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -27,7 +27,7 @@
 	if s.Kind == SYN {
 		return e.forwardSYN(rec, s)
 	}
-	if rec == nil && e.roster.Revision == 0 {
+	if rec == nil && e.roster.At.IsZero() {
 		return e.drop(NotFresh)
 	}
 	if rec == nil {
--- a/internal/route/sparroute/engine_test.go
+++ b/internal/route/sparroute/engine_test.go
@@ -29,7 +29,7 @@
 
 // settings returns a snapshot with one service at a revision.
 func settings(base sparconfig.Snapshot, revision uint64, d sparconfig.Document) sparconfig.Snapshot {
-	r := sparregistry.Registry{}.WithFullRead(nil, revision)
+	r := sparregistry.Registry{}.WithFullRead(nil, sparregistry.Position{Revision: revision})
 	for _, key := range d.Claims() {
 		r = r.With(sparregistry.Entry{Key: key, Value: []byte("team/booking"), Revision: 1})
 	}
--- a/internal/settings/sparconfig/carrier_test.go
+++ b/internal/settings/sparconfig/carrier_test.go
@@ -20,7 +20,7 @@
 		t.Errorf("%+v, error %v", f, err)
 	}
 	f, err = sparconfig.ParseFile([]byte(cookieFile))
-	if err != nil || f.Carrier != sparconfig.Cookie || f.Force != sparconfig.DefaultForce || f.Grace != sparconfig.DefaultGrace {
+	if err != nil || f.Carrier != sparconfig.Cookie || f.Force != sparconfig.DefaultForce || f.Grace != sparconfig.DefaultGrace || f.Beat != sparconfig.DefaultBeat {
 		t.Errorf("%+v, error %v", f, err)
 	}
 }
@@ -35,6 +35,8 @@
 		"force below minimum":   {with(cookieFile, `"force": 10`), "force"},
 		"force above maximum":   {with(cookieFile, `"force": 3600000`), "force"},
 		"grace below minimum":   {with(cookieFile, `"grace": -1`), "grace"},
+		"beat below minimum":    {with(cookieFile, `"beat": 10`), "beat"},
+		"beat with geneve":      {with(geneveFile, `"beat": 1200`), "beat"},
 		"unknown field":         {with(cookieFile, `"colour": "red"`), "colour"},
 		"seed with a host name": {strings.Replace(cookieFile, "127.0.0.1:5", "seed:5", 1), "seeds[0]"},
 		"platform without port": {strings.Replace(cookieFile, "127.0.0.1:4", "127.0.0.1", 1), "platform"},
--- a/internal/settings/sparconfig/snapshot.go
+++ b/internal/settings/sparconfig/snapshot.go
@@ -39,7 +39,7 @@
 // the service as it is in s, unless another service has claimed one of its addresses.
 func (s Snapshot) With(r sparregistry.Registry) Snapshot {
 	next := Snapshot{
-		Revision: r.Revision(), Digest: r.Digest(),
+		Revision: r.Position().Revision, Digest: r.Digest(),
 		services: map[string]*Service{}, byAddress: map[binding]*Service{}, byUpstream: map[binding]*Service{},
 	}
 	for _, e := range r.Under(TeamPrefix) {
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -38,6 +38,7 @@
 		Ready    string   `json:"ready,omitempty"`   // HTTP address of the fabric's readiness probe; cookie
 		Force    int64    `json:"force,omitempty"`   // milliseconds within which settings must be in force everywhere; cookie
 		Grace    int64    `json:"grace,omitempty"`   // seconds from SIGTERM to SIGKILL; cookie
+		Beat     int64    `json:"beat,omitempty"`    // milliseconds between two heartbeats of an upstream to the platform; cookie
 	}
 
 	// Carrier is how the fabric delivers packets, which determines how a VM finds the
@@ -56,6 +57,7 @@
 		Ready string        // HTTP address of the fabric's readiness probe
 		Force time.Duration // within which settings must be in force everywhere
 		Grace time.Duration // from SIGTERM to SIGKILL
+		Beat  time.Duration // between two heartbeats of an upstream to the platform
 	}
 
 	// VM is one entry of the list of VMs on the platform.
@@ -82,11 +84,16 @@
 	DefaultForce = 3000
 	// DefaultGrace is the time, in seconds, from SIGTERM to SIGKILL.
 	DefaultGrace = 6
+	// DefaultBeat is the time, in milliseconds, between two heartbeats of an upstream to the
+	// platform.
+	DefaultBeat = 1200
 
 	secretDigits = 32
 	minForce     = 500
 	maxForce     = 60_000
 	maxGrace     = 600
+	minBeat      = 100
+	maxBeat      = 60_000
 )
 
 func (GeneveCarrier) carrier() {}
@@ -97,6 +104,7 @@
 	if f.Carrier == Cookie {
 		return CookieCarrier{
 			Ready: f.Ready, Force: time.Duration(f.Force) * time.Millisecond, Grace: time.Duration(f.Grace) * time.Second,
+			Beat: time.Duration(f.Beat) * time.Millisecond,
 		}
 	}
 	return GeneveCarrier{Fabric: f.Fabric}
@@ -156,6 +164,9 @@
 	if f.Grace == 0 {
 		f.Grace = DefaultGrace
 	}
+	if f.Beat == 0 {
+		f.Beat = DefaultBeat
+	}
 	return f
 }
 
@@ -203,8 +214,8 @@
 }
 
 func (f File) checkGeneve() error {
-	if f.Ready != "" || f.Force != 0 || f.Grace != 0 {
-		return errors.Errorf("ready, force, grace: expected only with the carrier %s", Cookie)
+	if f.Ready != "" || f.Force != 0 || f.Grace != 0 || f.Beat != 0 {
+		return errors.Errorf("ready, force, grace, beat: expected only with the carrier %s", Cookie)
 	}
 	if err := checkAddress(f.Fabric); err != nil {
 		return errors.Annotate(err, "fabric")
@@ -228,6 +239,9 @@
 	if f.Grace < 1 || f.Grace > maxGrace {
 		return errors.Errorf("grace: %d, expected 1 to %d seconds", f.Grace, maxGrace)
 	}
+	if f.Beat < minBeat || f.Beat > maxBeat {
+		return errors.Errorf("beat: %d, expected %d to %d milliseconds", f.Beat, minBeat, maxBeat)
+	}
 	return nil
 }
 
--- a/internal/settings/sparregistry/registry_test.go
+++ b/internal/settings/sparregistry/registry_test.go
@@ -9,6 +9,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
+// at returns the position of a revision, on a platform that names no era.
+func at(revision uint64) sparregistry.Position { return sparregistry.Position{Revision: revision} }
+
 func ExampleRegistry_With() {
 	var r sparregistry.Registry
 	r = r.With(sparregistry.Entry{Key: "a", Value: []byte("new"), Revision: 7})
@@ -35,8 +38,8 @@
 			e := entries[len(entries)-1-i]
 			b = b.With(e, e)
 		}
-		if a.Digest() != b.Digest() || a.Revision() != b.Revision() {
-			r.Fatalf("digests %x and %x, revisions %d and %d", a.Digest(), b.Digest(), a.Revision(), b.Revision())
+		if a.Digest() != b.Digest() || a.Position() != b.Position() {
+			r.Fatalf("digests %x and %x, positions %v and %v", a.Digest(), b.Digest(), a.Position(), b.Position())
 		}
 	})
 }
@@ -44,7 +47,7 @@
 func TestFullReadDeletesOnlyOlderKeys(t *testing.T) {
 	var r sparregistry.Registry
 	r = r.With(sparregistry.Entry{Key: "old", Revision: 3}, sparregistry.Entry{Key: "late", Revision: 9})
-	r = r.WithFullRead(nil, 5)
+	r = r.WithFullRead(nil, at(5))
 	if _, ok := r.Get("old"); ok {
 		t.Error("a key that is missing from the read was not deleted")
 	}
@@ -61,22 +64,22 @@
 	}
 	// The first page contains a at 5. Then a changes at 11 and z at 12; the second page
 	// contains only z.
-	reader := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{entry("a", 5), entry("z", 12)}, 10)
-	if reader.Revision() != 10 {
-		t.Errorf("complete at %d, want 10", reader.Revision())
+	reader := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{entry("a", 5), entry("z", 12)}, at(10))
+	if reader.Position() != at(10) {
+		t.Errorf("complete at %d, want 10", reader.Position().Revision)
 	}
-	follower, _ := sparregistry.Registry{}.WithDelta(reader.Delta(0))
-	reader = reader.WithFullRead([]sparregistry.Entry{entry("a", 11), entry("z", 12)}, 12)
-	follower, _ = follower.WithDelta(reader.Delta(follower.Revision()))
-	if follower.Digest() != reader.Digest() || follower.Revision() != 12 {
-		t.Errorf("the follower misses a change, complete at %d", follower.Revision())
+	follower, _ := sparregistry.Registry{}.WithDelta(reader.Delta(at(0)))
+	reader = reader.WithFullRead([]sparregistry.Entry{entry("a", 11), entry("z", 12)}, at(12))
+	follower, _ = follower.WithDelta(reader.Delta(follower.Position()))
+	if follower.Digest() != reader.Digest() || follower.Position() != at(12) {
+		t.Errorf("the follower misses a change, complete at %d", follower.Position().Revision)
 	}
 }
 
 // TestIncompleteChangesAreRefused merges the changes of incremental reads. Those that lack
 // some must be refused.
 func TestIncompleteChangesAreRefused(t *testing.T) {
-	start := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 5)
+	start := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, at(5))
 	entries := []sparregistry.Entry{{Key: "a", Revision: 7}, {Key: "b", Revision: 8, Deleted: true}}
 	tests := []struct {
 		name      string
@@ -94,20 +97,32 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			next, ok := start.WithChanges(entries, test.revisions, start.Revision(), test.reached)
+			next, ok := start.WithChanges(entries, test.revisions, start.Position(), at(test.reached))
 			if ok != test.want {
 				t.Fatalf("complete: %v, want %v", ok, test.want)
 			}
-			if !ok && (next.Digest() != start.Digest() || next.Revision() != start.Revision()) {
+			if !ok && (next.Digest() != start.Digest() || next.Position() != start.Position()) {
 				t.Error("incomplete changes were merged")
 			}
-			if ok && next.Revision() < test.reached {
-				t.Errorf("complete at %d, want %d", next.Revision(), test.reached)
+			if ok && next.Position().Revision < test.reached {
+				t.Errorf("complete at %d, want %d", next.Position().Revision, test.reached)
 			}
 		})
 	}
+	t.Run("another era", func(t *testing.T) {
+		// The revisions continue without a gap, but they are those of a restored platform.
+		reached := sparregistry.Position{Era: 1, Revision: 8}
+		if _, ok := start.WithChanges(entries, []uint64{6, 7, 8}, start.Position(), reached); ok {
+			t.Error("changes of a later era were merged")
+		}
+	})
+	t.Run("platform went back", func(t *testing.T) {
+		if _, ok := start.WithChanges(nil, nil, start.Position(), at(4)); ok {
+			t.Error("a platform at 4 has no changes after 5")
+		}
+	})
 	t.Run("older registry", func(t *testing.T) {
-		if _, ok := start.WithChanges(entries, []uint64{8}, 7, 8); ok {
+		if _, ok := start.WithChanges(entries, []uint64{8}, at(7), at(8)); ok {
 			t.Error("changes after 7 were merged into a registry that is complete at 5")
 		}
 	})
@@ -121,7 +136,7 @@
 	}
 	// b is deleted at 3, c written at 4; x is written at 5 and deleted at 6, d written at 7.
 	read := func(revision uint64, entries ...sparregistry.Entry) sparregistry.Registry {
-		return sparregistry.Registry{}.WithFullRead(entries, revision)
+		return sparregistry.Registry{}.WithFullRead(entries, at(revision))
 	}
 	fresh := read(7, entry("a", 1), entry("c", 4), entry("d", 7))
 	tests := []struct {
@@ -139,24 +154,24 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			delta := fresh.Delta(test.follower.Revision())
+			delta := fresh.Delta(test.follower.Position())
 			next, complete := test.follower.WithDelta(delta)
 			if complete != test.complete || len(delta.Entries) != test.entries {
 				t.Fatalf("complete: %v with %d entries, want %v with %d", complete, len(delta.Entries), test.complete, test.entries)
 			}
 			if !complete {
-				if next.Revision() != test.follower.Revision() {
-					t.Errorf("complete at %d, want %d still", next.Revision(), test.follower.Revision())
+				if next.Position() != test.follower.Position() {
+					t.Errorf("complete at %d, want %d still", next.Position().Revision, test.follower.Position().Revision)
 				}
-				next, complete = next.WithDelta(fresh.Delta(0))
+				next, complete = next.WithDelta(fresh.Delta(at(0)))
 			}
 			for _, key := range []string{"b", "x"} {
 				if _, ok := next.Get(key); ok {
 					t.Errorf("deleted key %s is in force", key)
 				}
 			}
-			if !complete || next.Revision() != 7 {
-				t.Errorf("complete at %d in the end, want 7", next.Revision())
+			if !complete || next.Position() != at(7) {
+				t.Errorf("complete at %d in the end, want 7", next.Position().Revision)
 			}
 		})
 	}
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -87,17 +87,18 @@
 
 	// Problem is an entry, or a route of the routing, that was left out.
 	Problem struct {
-		Key      string
-		Revision uint64
-		Cause    string
+		Key   string
+		At    sparregistry.Position // that changed the entry last
+		Cause string
 	}
 
 	// Roster is the settings in force. The zero Roster is empty.
 	Roster struct {
-		Revision  uint64
+		At        sparregistry.Position // at which the settings are complete
 		Digest    uint64
 		Routing   Routing
-		Upstreams []Upstream // by ID
+		RoutingAt sparregistry.Position // that changed the routing last
+		Upstreams []Upstream            // by ID
 		VMs       []sparconfig.VM
 		Problems  []Problem
 
@@ -105,11 +106,11 @@
 		decoded map[string]decodedEntry
 	}
 
-	// decodedEntry is the result of decoding an entry at a revision.
+	// decodedEntry is the result of decoding an entry at a position.
 	decodedEntry struct {
-		revision uint64
-		fact     Fact
-		err      error
+		at   sparregistry.Position
+		fact Fact
+		err  error
 	}
 )
 
@@ -123,17 +124,17 @@
 }
 
 // With returns the roster of the live entries of a registry. Entries that r has decoded
-// at the same revision are not decoded again.
+// at the same position are not decoded again.
 func (r Roster) With(registry sparregistry.Registry, decode Decoder) Roster {
 	next := Roster{
-		Revision: registry.Revision(), Digest: registry.Digest(),
+		At: registry.Position(), Digest: registry.Digest(),
 		Routing: Routing{Idle: DefaultIdle}, routes: map[sparflow.Endpoint]Route{}, decoded: map[string]decodedEntry{},
 	}
 	for _, e := range registry.Under("") {
 		d, ok := r.decoded[e.Key]
-		if !ok || d.revision != e.Revision {
+		if !ok || d.at != e.Position() {
 			fact, err := decode.decodeEntry(e)
-			d = decodedEntry{revision: e.Revision, fact: fact, err: err}
+			d = decodedEntry{at: e.Position(), fact: fact, err: err}
 		}
 		next.decoded[e.Key] = d
 		next.add(e.Key, d)
@@ -160,14 +161,14 @@
 // add adds a decoded entry to the roster, or the problem that it has.
 func (r *Roster) add(key string, entry decodedEntry) {
 	if entry.err != nil {
-		r.Problems = append(r.Problems, Problem{Key: key, Revision: entry.revision, Cause: entry.err.Error()})
+		r.Problems = append(r.Problems, Problem{Key: key, At: entry.at, Cause: entry.err.Error()})
 		return
 	}
 	switch fact := entry.fact.(type) {
 	case Routing:
-		r.Routing = fact
+		r.Routing, r.RoutingAt = fact, entry.at
 		for _, cause := range fact.Refused {
-			r.Problems = append(r.Problems, Problem{Key: key, Revision: entry.revision, Cause: cause})
+			r.Problems = append(r.Problems, Problem{Key: key, At: entry.at, Cause: cause})
 		}
 	case Upstream:
 		r.Upstreams = append(r.Upstreams, fact)
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -42,7 +42,7 @@
 
 func TestDeletedEntriesAreLeftOut(t *testing.T) {
 	r := sparregistry.Registry{}.With(sparregistry.Entry{Key: "upstream/1", Value: []byte("a"), Revision: 2})
-	r = r.WithFullRead(nil, 3)
+	r = r.WithFullRead(nil, sparregistry.Position{Revision: 3})
 	if roster := sparroster.New(r, decode); len(roster.Upstreams) != 0 {
 		t.Errorf("upstreams %v", roster.Upstreams)
 	}
@@ -79,7 +79,7 @@
 	roster := sparroster.New(r, func(string, []byte) (sparroster.Fact, error) {
 		return sparroster.Routing{Refused: []string{"route a: no port"}}, nil
 	})
-	if want := (sparroster.Problem{Key: sparroster.RoutingKey, Revision: 5, Cause: "route a: no port"}); len(roster.Problems) != 1 || roster.Problems[0] != want {
+	if want := (sparroster.Problem{Key: sparroster.RoutingKey, At: sparregistry.Position{Revision: 5}, Cause: "route a: no port"}); len(roster.Problems) != 1 || roster.Problems[0] != want {
 		t.Errorf("problems %v", roster.Problems)
 	}
 }
--- a/internal/stand/sparstand/stand.go
+++ b/internal/stand/sparstand/stand.go
@@ -148,7 +148,7 @@
 
 func addresses(listing sparkv.Listing) (list []netip.AddrPort) {
 	var r sparregistry.Registry
-	for _, vm := range sparconfig.VMs(r.WithFullRead(listing.Entries, listing.Revision)) {
+	for _, vm := range sparconfig.VMs(r.WithFullRead(listing.Entries, sparregistry.Position{Revision: listing.Revision})) {
 		if vm.State == sparconfig.Live {
 			list = append(list, netip.MustParseAddrPort(vm.Data))
 		}
--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -135,13 +135,13 @@
 // fetch pulls settings from a peer and decodes them.
 func (vm *VM) fetch(ctx context.Context, client *http.Client, p pull) pulled {
 	timeout := changesTimeout
-	if p.req.After == 0 {
+	if p.req.After.IsZero() {
 		timeout = fullTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	peer := sparcontrol.Dial(p.req.From.Control, client)
-	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: p.req.After, From: sparcontrol.FromVM(vm.file.VM())})
+	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: p.req.After.Revision, Era: p.req.After.Era, From: sparcontrol.FromVM(vm.file.VM())})
 	if err != nil || reply.Busy || !reply.Synced {
 		return pulled{pull: p, reply: reply, err: err}
 	}
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -201,7 +201,7 @@
 }
 
 // TestRestoredPlatformIsLogged restores the platform from an older copy. The log says how far
-// it went back, and which of its entries lose to those held.
+// it went back, how many entries are kept, and until when.
 func TestRestoredPlatformIsLogged(t *testing.T) {
 	s := newSite(t)
 	v := s.start("vm-1")
@@ -214,9 +214,17 @@
 		fields, ok := v.log.find("platform went back")
 		return ok && fields["before_era"] == 1.0 && fields["era"] == 2.0 && fields["before"].(float64) > fields["revision"].(float64)
 	})
-	eventually(t, "a log line for the entry passed over", func() bool {
-		fields, ok := v.log.find("entries passed over, later ones are held")
-		return ok && fields["first"] == "routing" && fields["held"].(float64) > fields["revision"].(float64)
+	eventually(t, "a log line for the new era", func() bool {
+		fields, ok := v.log.find("platform was restored from an older copy")
+		return ok && fields["source"] == "platform" && fields["held"].(float64) > fields["revision"].(float64)
+	})
+	eventually(t, "a log line for the document that is kept", func() bool {
+		fields, ok := v.log.find("entries kept that the restored platform has lost")
+		return ok && fields["later"] == 1.0 && fields["missing"] == 0.0
+	})
+	eventually(t, "a log line for the end of that", func() bool {
+		fields, ok := v.log.find("settled on the restored platform")
+		return ok && fields["later"] == 1.0
 	})
 }
 
--- a/internal/vm/sparentry/facts.go
+++ b/internal/vm/sparentry/facts.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
-	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
 // States of a VM, as shown by the status command.
@@ -18,22 +17,21 @@
 	roster := vm.engine.Roster()
 	facts := &sparcontrol.FactsReply{
 		Vm: sparcontrol.FromVM(vm.file.VM()), State: vm.state(), Incarnation: uint64(vm.began.UnixMilli()),
-		Revision: roster.Revision, Digest: roster.Digest, Settled: true, Members: uint32(len(roster.VMs)),
-		Platform: vm.reachable,
+		Era: roster.At.Era, Revision: roster.At.Revision, Restoring: vm.registry.Restoring(), Digest: roster.Digest,
+		Settled: true, Members: uint32(len(roster.VMs)), Platform: vm.reachable,
 	}
-	routing, _ := vm.registry.Get(sparroster.RoutingKey)
 	services := map[string]*sparcontrol.ServiceFacts{}
 	for _, state := range vm.engine.UpstreamStates() {
 		s := services[state.Upstream.Service]
 		if s == nil {
-			s = &sparcontrol.ServiceFacts{Name: state.Upstream.Service, Revision: routing.Revision}
+			s = &sparcontrol.ServiceFacts{Name: state.Upstream.Service, Era: roster.RoutingAt.Era, Revision: roster.RoutingAt.Revision}
 			services[s.Name] = s
 			facts.Services = append(facts.Services, s)
 		}
 		s.Upstreams = append(s.Upstreams, upstreamFacts(state))
 	}
 	for _, p := range roster.Problems {
-		facts.Problems = append(facts.Problems, &sparcontrol.ProblemFacts{Service: p.Key, Revision: p.Revision, Cause: p.Cause})
+		facts.Problems = append(facts.Problems, &sparcontrol.ProblemFacts{Service: p.Key, Era: p.At.Era, Revision: p.At.Revision, Cause: p.Cause})
 	}
 	return facts
 }
--- a/internal/vm/sparentry/handler.go
+++ b/internal/vm/sparentry/handler.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
@@ -28,7 +29,7 @@
 	if !ok {
 		return nil, errors.New("pull request has no permit")
 	}
-	p.to, p.after = r.From.ToVM(), r.After
+	p.to, p.after = r.From.ToVM(), sparregistry.Position{Era: r.Era, Revision: r.After}
 	d, err := sparring.Query(ctx, h.vm.queries, func(vm *VM) pullDecision { return vm.answerPull(p) })
 	if err != nil {
 		return nil, err
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -49,7 +49,7 @@
 	roster := vm.engine.Roster()
 	fields := logrus.Fields{
 		"flow": s.From.String() + ">" + s.To.String(), "do": v.Action.String(), "cause": v.Cause.String(),
-		"version": roster.Routing.Version, "revision": roster.Revision, "age_ms": vm.age.Milliseconds(),
+		"version": roster.Routing.Version, "revision": roster.At.Revision, "age_ms": vm.age.Milliseconds(),
 	}
 	if v.ID != 0 {
 		fields["upstream"] = fmt.Sprintf("%x", v.ID)
@@ -84,7 +84,7 @@
 func (vm *VM) logUpstream(what string, u sparroster.Upstream, fields logrus.Fields) {
 	vm.log.WithFields(fields).WithFields(logrus.Fields{
 		"upstream": fmt.Sprintf("%x", u.ID), "at": u.At.String(), "service": u.Service, "domain": u.Domain,
-		"revision": vm.registry.Revision(), "age_ms": vm.age.Milliseconds(),
+		"revision": vm.registry.Position().Revision, "age_ms": vm.age.Milliseconds(),
 	}).Info(what)
 	vm.addEvent(what, u.Service, u.At.String(), 0)
 }
@@ -98,18 +98,18 @@
 // logSettings logs the settings now in force and the entries newly left out of them.
 func (vm *VM) logSettings(before, now sparroster.Roster, from origin) {
 	vm.log.WithFields(logrus.Fields{
-		"revision": now.Revision, "before": before.Revision, "version": now.Routing.Version,
-		"source": from.source, "after": from.after, "era": vm.platformAt.Era,
+		"revision": now.At.Revision, "before": before.At.Revision, "version": now.Routing.Version,
+		"source": from.source, "after": from.after.Revision, "era": now.At.Era,
 		"routes": len(now.Routing.Routes), "upstreams": len(now.Upstreams), "vms": len(now.VMs),
 	}).Info("settings in force")
-	vm.addEvent("in-force", "", from.source, int(now.Revision))
+	vm.addEvent("in-force", "", from.source, int(now.At.Revision))
 	known := map[sparroster.Problem]bool{}
 	for _, p := range before.Problems {
 		known[p] = true
 	}
 	for _, p := range now.Problems {
 		if !known[p] {
-			vm.log.WithFields(logrus.Fields{"key": p.Key, "revision": p.Revision, "cause": p.Cause}).Warn("entry left out")
+			vm.log.WithFields(logrus.Fields{"key": p.Key, "era": p.At.Era, "revision": p.At.Revision, "cause": p.Cause}).Warn("entry left out")
 		}
 	}
 }
@@ -168,7 +168,7 @@
 }
 
 func (vm *VM) logPeerBusy(p pull, referral sparconfig.VM) {
-	fields := logrus.Fields{"peer": p.req.From.Name, "at": p.req.From.Control, "after": p.req.After, "age_ms": vm.age.Milliseconds()}
+	fields := logrus.Fields{"peer": p.req.From.Name, "at": p.req.From.Control, "after": p.req.After.Revision, "age_ms": vm.age.Milliseconds()}
 	if referral.Name != "" {
 		fields["elsewhere"] = referral.Name
 	}
@@ -202,19 +202,57 @@
 	vm.log.WithFields(fields).Info("entry taken out")
 }
 
-func (vm *VM) logIncompleteChanges(after uint64, c incrementalRead) {
+func (vm *VM) logIncompleteChanges(after sparregistry.Position, c incrementalRead) {
 	vm.log.WithFields(logrus.Fields{
-		"after": after, "reached": c.reached.Revision, "era": c.reached.Era, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
+		"after": after.Revision, "reached": c.reached.Revision, "era": c.reached.Era, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
 	}).Warn("changes incomplete, everything is read")
 }
 
-// logWentBack logs that the platform has lost changes: it was restored from an older copy.
+// logWentBack logs that the platform is at an earlier position than at the last read of this
+// VM: it has lost changes.
 func (vm *VM) logWentBack(before, now sparregistry.Position) {
+	if before.Era == now.Era && now.Revision >= before.Revision || before.Era == 0 {
+		return
+	}
 	vm.log.WithFields(logrus.Fields{
 		"before_era": before.Era, "before": before.Revision, "era": now.Era, "revision": now.Revision,
-		"held": vm.registry.Revision(), "age_ms": vm.age.Milliseconds(),
+		"held": vm.registry.Position().Revision, "age_ms": vm.age.Milliseconds(),
 	}).Warn("platform went back")
-	vm.addEvent("platform-back", "", "", int(now.Era))
+}
+
+// logRestored logs that this VM enters an era of the platform that follows another one.
+func (vm *VM) logRestored(held, at sparregistry.Position, from origin) {
+	vm.metrics.restores.Add(1)
+	vm.log.WithFields(logrus.Fields{
+		"before_era": held.Era, "held": held.Revision, "era": at.Era, "revision": at.Revision, "source": from.source,
+		"age_ms": vm.age.Milliseconds(),
+	}).Warn("platform was restored from an older copy")
+	vm.addEvent("platform-restored", "", from.source, int(at.Era))
+}
+
+// logKept logs how many entries of earlier eras this VM keeps although a read of the restored
+// platform lacks them or shows an earlier state of them.
+func (vm *VM) logKept(at sparregistry.Position, missing, later int, settling bool) {
+	fields := logrus.Fields{"later": later, "missing": 0, "era": at.Era, "revision": at.Revision}
+	if settling {
+		fields["missing"] = missing
+	}
+	vm.log.WithFields(fields).Warn("entries kept that the restored platform has lost")
+}
+
+// logSettled logs that the restored platform decides alone again. missing and later are the
+// entries that this VM had kept and now gives up.
+func (vm *VM) logSettled(at sparregistry.Position, missing, later int) {
+	vm.log.WithFields(logrus.Fields{
+		"era": at.Era, "revision": at.Revision, "missing": missing, "later": later,
+	}).Info("settled on the restored platform")
+}
+
+// logLateResponse logs a read that shows the platform as it was before its restore.
+func (vm *VM) logLateResponse(at sparregistry.Position) {
+	vm.log.WithFields(logrus.Fields{
+		"era": at.Era, "revision": at.Revision, "held_era": vm.registry.Position().Era,
+	}).Warn("read of an earlier era left out")
 }
 
 // logPassedOver logs the entries of a full read that this VM leaves out because it holds
@@ -245,7 +283,7 @@
 
 func (vm *VM) logReady() {
 	vm.log.WithFields(logrus.Fields{
-		"calls": vm.store.Calls(), "took_ms": time.Since(vm.began).Milliseconds(), "revision": vm.registry.Revision(),
+		"calls": vm.store.Calls(), "took_ms": time.Since(vm.began).Milliseconds(), "revision": vm.registry.Position().Revision,
 	}).Info("ready")
 }
 
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -28,6 +28,7 @@
 	served     atomic.Uint64     // pulls of peers that were served
 	busy       atomic.Uint64     // pulls of peers that were refused because of overload
 	passedOver atomic.Uint64     // entries of full reads that were older than those held
+	restores   atomic.Uint64     // eras of the platform that followed another one
 	counts     map[string]uint64 // totals published last
 }
 
@@ -54,6 +55,7 @@
 	m.count("control_bytes", m.control.Load())
 	m.count("served_pulls", m.served.Load())
 	m.count("busy_pulls", m.busy.Load())
+	m.count("platform_restores", m.restores.Load())
 	m.count("passed_over_entries", m.passedOver.Load())
 	m.count("refused_control", m.badControl.Load())
 	m.count("early_packets", m.early.Load())
@@ -61,7 +63,7 @@
 	m.count("unsent_datagrams", m.unsent.Load())
 	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.queries.Refused())
 	roster := vm.engine.Roster()
-	m.set.Scope.Gauge("settings_revision").Update(float64(roster.Revision))
+	m.set.Scope.Gauge("settings_revision").Update(float64(roster.At.Revision))
 	m.set.Scope.Gauge("platform_era").Update(float64(vm.platformAt.Era))
 	m.set.Scope.Gauge("platform_revision").Update(float64(vm.platformAt.Revision))
 	m.set.Scope.Gauge("settings_version").Update(float64(roster.Routing.Version))
--- a/internal/vm/sparentry/pull.go
+++ b/internal/vm/sparentry/pull.go
@@ -25,7 +25,8 @@
 		admitted bool
 		failed   bool
 		to       sparconfig.VM
-		after    uint64
+		after    sparregistry.Position
+		full     bool // a full copy is sent
 		digest   uint64
 	}
 
@@ -34,9 +35,10 @@
 
 	// served is a released permit.
 	served struct {
-		to            sparconfig.VM
-		after, digest uint64
-		whole         bool // the response was written in full
+		to     sparconfig.VM
+		full   bool // a full copy was sent
+		digest uint64
+		whole  bool // the response was written in full
 	}
 
 	// pullDecision is the event loop's reply to a pull.
@@ -46,10 +48,11 @@
 		key   deltaKey
 	}
 
-	// deltaKey identifies the delta from revision after to the settings with a digest and
-	// revision. From revision 0 it is a full copy.
+	// deltaKey identifies the delta from position after to the settings with a digest at a
+	// position. From the zero Position it is a full copy.
 	deltaKey struct {
-		digest, revision, after uint64
+		digest    uint64
+		at, after sparregistry.Position
 	}
 
 	// deltaCache keeps encoded deltas, so that each is encoded only once for all peers. The
@@ -70,7 +73,7 @@
 	if p.closed {
 		return sparconfig.VM{}, false
 	}
-	referral, p.admitted = vm.sync.Serve(p.to, p.after)
+	referral, p.admitted = vm.sync.Serve(p.to, p.full)
 	p.digest = vm.registry.Digest()
 	return referral, p.admitted
 }
@@ -87,7 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	return served{to: p.to, after: p.after, digest: p.digest, whole: !p.failed}, p.admitted
+	return served{to: p.to, full: p.full, digest: p.digest, whole: !p.failed}, p.admitted
 }
 
 // hooks attaches a permit to each request and releases it when the request has ended.
@@ -124,7 +127,11 @@
 			Synced: vm.sync.Synced(), Reader: vm.sync.Reader(),
 			Age: uint64(max(vm.sync.Age(vm.clock.now()), 0).Microseconds()),
 		},
-		key: deltaKey{digest: vm.registry.Digest(), revision: vm.registry.Revision(), after: p.after},
+		key: deltaKey{digest: vm.registry.Digest(), at: vm.registry.Position(), after: p.after},
+	}
+	p.full = p.after.Revision == 0 || p.after.Era != d.key.at.Era
+	if p.full {
+		d.key.after = sparregistry.Position{}
 	}
 	if !d.reply.Synced {
 		return d
@@ -140,7 +147,7 @@
 	}
 	vm.metrics.served.Add(1)
 	if d.reply.Share = vm.deltas.get(d.key); d.reply.Share == nil {
-		d.delta = vm.registry.Delta(p.after)
+		d.delta = vm.registry.Delta(d.key.after)
 	}
 	return d
 }
@@ -158,7 +165,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for other := range c.deltas {
-		if other.digest != k.digest || other.revision != k.revision || len(c.deltas) >= maxCached {
+		if other.digest != k.digest || other.at != k.at || len(c.deltas) >= maxCached {
 			delete(c.deltas, other)
 		}
 	}
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -17,10 +17,10 @@
 
 type (
 	// readRequest requests a read of the platform: of the registered VMs if vms is set,
-	// otherwise of what changed after a revision, where 0 requests a full read.
+	// otherwise of what changed after a position. The zero Position requests a full read.
 	readRequest struct {
 		began time.Duration
-		after uint64
+		after sparregistry.Position
 		vms   bool
 	}
 
@@ -42,7 +42,7 @@
 		platform.Listing
 	}
 
-	// incrementalRead is the changes after a revision.
+	// incrementalRead is the changes after a position.
 	incrementalRead struct {
 		platform.Changes
 		reached sparregistry.Position // of the platform just before the changes were read
@@ -70,26 +70,30 @@
 	}
 }
 
-// readPlatform performs one read. An incremental read first gets the current revision,
-// linearizably, to detect changes that the platform omits.
+// readPlatform performs one read. An incremental read first gets the current position,
+// linearizably, to detect changes that the platform omits. It gets no changes from a platform
+// that has gone back, since they are not those after the position.
 func (vm *VM) readPlatform(ctx context.Context, r readRequest) (result readResult, err error) {
 	after := r.after
 	if r.vms {
 		vms, err := vm.store.VMs(ctx)
 		return listedVMs(vms), err
 	}
-	if after == 0 {
+	if after.IsZero() {
 		full, err := vm.store.List(ctx)
 		return fullRead{full}, err
 	}
 	reached, err := vm.store.Position(ctx)
-	if err != nil || reached.Revision == after {
+	if err != nil || reached.Era != after.Era || reached.Revision <= after.Revision {
 		return incrementalRead{reached: reached}, err
 	}
-	c, err := vm.store.Changes(ctx, after)
+	c, err := vm.store.Changes(ctx, after.Revision)
 	if errors.Is(err, platform.ErrCompacted) {
 		err = nil // readDone sees from the missing changes that the read is incomplete
 	}
+	if c.Era != reached.Era {
+		c = platform.Changes{} // restored in between: incomplete as well
+	}
 	return incrementalRead{Changes: c, reached: reached}, err
 }
 
@@ -111,13 +115,17 @@
 		vm.perform(vm.sync.VMsListed(r, now), now)
 		return
 	case fullRead:
+		if r.At.Era < vm.registry.Position().Era {
+			vm.logLateResponse(r.At)
+			vm.perform(vm.sync.ReadFailed(now), now)
+			return
+		}
 		size = r.Bytes
-		vm.observe(r.At)
-		vm.logPassedOver(vm.registry.PassedOver(r.Entries))
+		vm.observe(r.At, origin{source: sourcePlatform}, now)
 		vm.adopt(vm.withFullRead(r, now), origin{source: sourcePlatform})
 	case incrementalRead:
-		vm.observe(r.reached)
-		next, ok := vm.registry.WithChanges(r.Entries, r.Revisions, in.after, r.reached.Revision)
+		vm.platformAt = r.reached
+		next, ok := vm.registry.WithChanges(r.Entries, r.Revisions, in.after, r.reached)
 		if !ok {
 			vm.logIncompleteChanges(in.after, r)
 			vm.perform(vm.sync.ReadIncomplete(now), now)
@@ -128,28 +136,50 @@
 	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
 }
 
-// observe records the position of the platform that a read has shown, and logs when it has
-// gone back.
-func (vm *VM) observe(at sparregistry.Position) {
-	before := vm.platformAt
-	vm.platformAt = at
-	if before.Era > 0 && at.Era != before.Era || at.Revision < before.Revision {
-		vm.logWentBack(before, at)
+// observe records the position of the platform that a full read or a peer shows. An era that
+// follows another one means that the platform was restored from an older copy.
+func (vm *VM) observe(at sparregistry.Position, from origin, now time.Duration) {
+	held := vm.registry.Position()
+	if from.source == sourcePlatform {
+		vm.logWentBack(vm.platformAt, at)
+		vm.platformAt = at
+	}
+	restored := held.Era > 0 && at.Era > held.Era || !vm.synced && at.Revision == 0
+	if restored {
+		vm.logRestored(held, at, from)
+		vm.sync.Restored(now)
 	}
 }
 
 // withFullRead returns the registry updated from a full read. After an outage of the
 // platform, entries of live upstreams may have expired; missing entries are kept for a while.
-// The registry then differs from the platform, so it keeps its previous revision, both here
+// The registry then differs from the platform, so it keeps its previous position, both here
 // and in notifications to other VMs.
 func (vm *VM) withFullRead(r fullRead, now time.Duration) sparregistry.Registry {
+	held := vm.registry.Position()
 	settling := vm.sync.Failing() || vm.sync.Settling(now)
-	if !settling {
-		return vm.registry.WithFullRead(r.Entries, r.At.Revision)
-	}
-	if missing := vm.registry.Missing(sparroster.UpstreamPrefix, r.Entries); missing > 0 {
-		vm.logRetained(missing)
-		return vm.registry.WithPartial(r.Entries)
+	switch {
+	case vm.synced && held.Era > 0 && r.At.Era > held.Era || vm.registry.Restoring():
+		return vm.withRestoredRead(r, settling, now)
+	case settling:
+		if missing := vm.registry.Missing(sparroster.UpstreamPrefix, r.Entries); missing > 0 {
+			vm.logRetained(missing)
+			return vm.registry.WithPartial(r.Entries)
+		}
 	}
-	return vm.registry.WithFullRead(r.Entries, r.At.Revision)
+	vm.logPassedOver(vm.registry.PassedOver(r.Entries))
+	return vm.registry.WithFullRead(r.Entries, r.At)
+}
+
+// withRestoredRead does the same after a restore of the platform. Its copy may be of a time
+// before writes that were acknowledged, of this VM too, so entries that it lacks or shows at an
+// earlier state are kept until their writers have had time to write them again.
+func (vm *VM) withRestoredRead(r fullRead, settling bool, now time.Duration) sparregistry.Registry {
+	missing, later := vm.registry.Kept(r.Entries, r.At)
+	if vm.sync.Doubting(now) && (later > 0 || settling && missing > 0) {
+		vm.logKept(r.At, missing, later, settling)
+		return vm.registry.WithRestoredRead(r.Entries, r.At, settling)
+	}
+	vm.logSettled(r.At, missing, later)
+	return vm.registry.WithFullRead(r.Entries, r.At)
 }
--- a/internal/vm/sparentry/register.go
+++ b/internal/vm/sparentry/register.go
@@ -23,9 +23,9 @@
 type (
 	// registration is the state of this VM's own entry in the platform.
 	registration struct {
-		busy    bool          // a write is under way
-		tried   time.Duration // time of the last attempt
-		written uint64        // revision of the last write
+		busy    bool                  // a write is under way
+		tried   time.Duration         // time of the last attempt
+		written sparregistry.Position // of the last write
 	}
 
 	// write is a write to the platform. It is a sealed interface: ownEntry, newEntries or
@@ -68,7 +68,7 @@
 // registry look complete at a revision whose other changes have not been read.
 func (vm *VM) register(now time.Duration) {
 	if !vm.synced || vm.registration.busy || vm.sync.Failing() || vm.leave.Begun() ||
-		vm.registration.tried > 0 && now-vm.registration.tried < registerEvery || vm.registry.Revision() < vm.registration.written {
+		vm.registration.tried > 0 && now-vm.registration.tried < registerEvery || vm.registry.Position().Compare(vm.registration.written) < 0 {
 		return
 	}
 	key := sparroster.VMPrefix + vm.file.Name
@@ -131,7 +131,7 @@
 			vm.logRegisterFailed(w.err)
 			return
 		}
-		vm.registration.written = w.at.Revision
+		vm.registration.written = w.at
 	}
 }
 
--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
@@ -43,16 +45,19 @@
 
 // upstreamLine reports whether a line of the log is about an upstream and contains text.
 func (v *vm) upstreamLine(id uint64, text string) func() bool {
-	return func() bool {
-		v.log.mu.Lock()
-		defer v.log.mu.Unlock()
-		for _, line := range strings.Split(v.log.text.String(), "\n") {
-			if strings.Contains(line, fmt.Sprintf(`"upstream":"%x"`, id)) && strings.Contains(line, text) {
-				return true
-			}
+	return func() bool { return v.log.count(fmt.Sprintf(`"upstream":"%x"`, id), text) > 0 }
+}
+
+// count returns the number of lines that contain both texts.
+func (l *logBuffer) count(text, other string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range strings.Split(l.text.String(), "\n") {
+		if strings.Contains(line, text) && strings.Contains(line, other) {
+			n++
 		}
-		return false
 	}
+	return n
 }
 
 func (v *vm) version(n int) func() bool {
@@ -123,3 +128,47 @@
 		}
 	}
 }
+
+// facts returns what a VM says of itself, or nil if it does not answer.
+func (v *vm) facts() *sparcontrol.FactsReply {
+	facts, err := sparcontrol.Dial(v.file.Control, http.DefaultClient).Facts(v.site.t.Context(), &sparcontrol.FactsRequest{})
+	if err != nil {
+		return nil
+	}
+	return facts
+}
+
+// TestFollowersStayUnsettled guards against VMs that keep what they know of an earlier era for
+// good, since no later change makes them ask for anything: an upstream had left, the restored
+// platform shows it for a while, and nothing else happens.
+func TestFollowersStayUnsettled(t *testing.T) {
+	const id = 0xabc
+	s := newSite(t)
+	key := s.register(id, false, 1, time.Now())
+	vms := []*vm{s.start("vm-1"), s.start("vm-2"), s.start("vm-3")}
+	for _, v := range vms {
+		eventually(t, "all VMs are in the settings", func() bool { return v.log.contains(`"vms":3`) })
+	}
+	older := s.fake.Copy()
+	s.fake.Remove(key)
+	for _, v := range vms {
+		eventually(t, "the upstream has left", v.upstreamLine(id, "upstream left"))
+	}
+	s.fake.Restore(older)
+	for _, v := range vms {
+		eventually(t, "the restore is noticed", func() bool {
+			facts := v.facts()
+			return facts != nil && facts.Era == 2 && facts.Restoring
+		})
+	}
+	s.fake.Remove(key)
+	for _, v := range vms {
+		eventually(t, "settled", func() bool {
+			facts := v.facts()
+			return facts != nil && facts.Revision > 0 && !facts.Restoring
+		})
+		if v.log.count(fmt.Sprintf(`"upstream":"%x"`, id), "upstream listed") > 1 {
+			t.Errorf("%s used an upstream that had left", v.file.Name)
+		}
+	}
+}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -38,7 +38,7 @@
 	// after a revision.
 	origin struct {
 		source string
-		after  uint64
+		after  sparregistry.Position
 	}
 
 	// pull is a request to a peer for its settings.
@@ -67,7 +67,7 @@
 	case probed:
 		vm.leave.ProbeRefused(now)
 	case served:
-		vm.sync.Served(in.to, in.after, in.digest, in.whole)
+		vm.sync.Served(in.to, in.full, in.digest, in.whole)
 	case wrote:
 		vm.writeDone(in)
 	}
@@ -78,6 +78,7 @@
 func (vm *VM) receive(datagram sparcontrol.Input, now time.Duration) {
 	switch d := datagram.(type) {
 	case sparcontrol.ReceivedNotification:
+		vm.confirm(d.Notification)
 		vm.perform(vm.sync.Notified(d.Notification, now), now)
 	case sparcontrol.ReceivedQuery:
 		vm.perform(vm.sync.Queried(d.Query, now), now)
@@ -91,6 +92,16 @@
 	vm.age = vm.sync.Age(now)
 }
 
+// confirm settles the registry on a restored platform if a peer that has done so holds the same.
+func (vm *VM) confirm(n sparsync.Notification) {
+	next := vm.registry.WithConfirmed(n.At, n.Digest)
+	if next.Position() == vm.registry.Position() {
+		return
+	}
+	vm.logSettled(n.At, 0, 0)
+	vm.adopt(next, origin{source: n.From.Name})
+}
+
 func (vm *VM) pullDone(in pulled, now time.Duration) {
 	if in.err != nil {
 		vm.logPullFailed(in.pull, in.err)
@@ -105,6 +116,7 @@
 	case !r.Synced:
 		vm.perform(vm.sync.PullFailed(now), now)
 	default:
+		vm.observe(in.delta.At, origin{source: from.Name}, now)
 		next, complete := vm.registry.WithDelta(in.delta)
 		vm.adopt(next, origin{source: from.Name, after: in.delta.After})
 		vm.perform(vm.sync.Pulled(from, r.Reader, in.pull.began-in.age, complete, now), now)
@@ -112,12 +124,13 @@
 }
 
 func (vm *VM) held() sparsync.Held {
-	return sparsync.Held{Revision: vm.registry.Revision(), Digest: vm.registry.Digest()}
+	return sparsync.Held{At: vm.registry.Position(), Digest: vm.registry.Digest()}
 }
 
-// adopt replaces the registry and, if its content differs, puts the new settings in force.
+// adopt replaces the registry and puts the new settings in force if its content differs, or if
+// it begins or ends to keep entries of earlier eras.
 func (vm *VM) adopt(next sparregistry.Registry, from origin) {
-	changed := next.Digest() != vm.registry.Digest() || !vm.synced
+	changed := next.Digest() != vm.registry.Digest() || next.Restoring() != vm.registry.Restoring() || !vm.synced
 	vm.registry = next
 	vm.sync.SetHeld(vm.held())
 	if !changed {
--- a/internal/vm/sparnode/failure_test.go
+++ b/internal/vm/sparnode/failure_test.go
@@ -249,7 +249,7 @@
 		}
 	}
 	vm := l.boot("vm-9", "domain-0")
-	vm.node.Merge(l.vms[0].node.Registry().Delta(0)) // the response of a seed
+	vm.node.Merge(l.vms[0].node.Registry().Delta(sparregistry.Position{})) // the response of a seed
 	l.exchange(flows, 5*time.Second)
 	if vm.node.Tracker.State() != "serving" {
 		t.Errorf("fresh VM is %s", vm.node.Tracker.State())
--- a/internal/vm/sparnode/lab_test.go
+++ b/internal/vm/sparnode/lab_test.go
@@ -255,7 +255,7 @@
 func (l *lab) pull(vm *labVM, p sparnode.Pull) {
 	requester := vm.name
 	l.send(requester, p.From.Name, 0, func(peer *labVM) {
-		delta := peer.node.Registry().Delta(p.After)
+		delta := peer.node.Registry().Delta(sparregistry.Position{Revision: p.After})
 		l.send(peer.name, requester, l.settingsDelay(requester), func(vm *labVM) { vm.node.Merge(delta) })
 	})
 }
--- a/internal/vm/sparnode/settings.go
+++ b/internal/vm/sparnode/settings.go
@@ -9,7 +9,7 @@
 
 // MergeRead merges a full read of the platform.
 func (n *Node) MergeRead(entries []sparregistry.Entry, revision uint64) {
-	n.setRegistry(n.registry.WithFullRead(entries, revision))
+	n.setRegistry(n.registry.WithFullRead(entries, sparregistry.Position{Revision: revision}))
 }
 
 // Merge merges the settings that a peer sent. If changes are still missing, the digests
@@ -28,12 +28,12 @@
 	}
 	n.Tracker.Synced()
 	if !changed && n.inForce > 0 {
-		n.inForce = max(n.inForce, next.Revision())
+		n.inForce = max(n.inForce, next.Position().Revision)
 		return
 	}
 	n.snapshot = n.snapshot.With(next)
 	n.Engine.Apply(n.snapshot)
-	n.inForce = next.Revision()
+	n.inForce = next.Position().Revision
 	n.addEvent(sparroute.Event{Kind: "in-force", Count: int(n.inForce)})
 	for _, p := range n.snapshot.Problems {
 		n.addEvent(sparroute.Event{Kind: "settings-refused", Service: p.Service, Subject: p.Cause, Count: int(p.Revision)})
@@ -66,7 +66,7 @@
 		if pulled && n.now-last.at < pullEvery {
 			continue
 		}
-		pull := Pull{From: h.VM, After: n.registry.Revision()}
+		pull := Pull{From: h.VM, After: n.registry.Position().Revision}
 		repeated := pulled && last.digest == h.Digest
 		if repeated || !n.registry.Synced() {
 			pull.After = 0
