sparroster: the operator's document never goes back

What callers would see: routes that were added vanish, and flows on them are reset, when a restored platform shows an older document of the operator for longer than VMs keep entries of the earlier era, holds none at all, or holds one that can't be decoded.

Cause: a roster took whatever document the registry had; an entry that could not be used meant no routes. Orders by position cannot help, since the older document is the newest write.

Change: versions of the document rise, so a roster keeps its routing unless the registry has a usable one of at least its version, and reports a problem otherwise. A damaged document without any restore is covered by the same rule.

--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -8,11 +8,12 @@
 //	route, ok := roster.Route(address)
 //
 // An entry that cannot be decoded is left out and reported in Problems; the other entries
-// remain in force.
+// remain in force, and so does the last routing until there is a later one.
 package sparroster
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -139,6 +140,7 @@
 		next.decoded[e.Key] = d
 		next.add(e.Key, d)
 	}
+	next.keepRouting(r)
 	for _, route := range next.Routing.Routes {
 		next.routes[route.Address] = route
 	}
@@ -147,6 +149,27 @@
 	return next
 }
 
+// keepRouting keeps the routing of the previous roster unless r has a usable one of at least its
+// version: versions rise, and a platform that shows anything else has lost the latest one.
+func (r *Roster) keepRouting(previous Roster) {
+	found := !r.RoutingAt.IsZero()
+	if previous.RoutingAt.IsZero() || found && r.Routing.Version >= previous.Routing.Version {
+		return
+	}
+	_, damaged := r.decoded[RoutingKey]
+	switch {
+	case found:
+		r.addProblem(RoutingKey, r.RoutingAt, fmt.Sprintf("version %d is older than version %d, which stays in force", r.Routing.Version, previous.Routing.Version))
+	case !damaged: // otherwise a problem already
+		r.addProblem(RoutingKey, r.At, fmt.Sprintf("missing, version %d stays in force", previous.Routing.Version))
+	}
+	r.Routing, r.RoutingAt = previous.Routing, previous.RoutingAt
+}
+
+func (r *Roster) addProblem(key string, at sparregistry.Position, cause string) {
+	r.Problems = append(r.Problems, Problem{Key: key, At: at, Cause: cause})
+}
+
 // decodeEntry decodes an entry. A panic of the decoder becomes an error of this entry: all VMs
 // have the same entries and would otherwise all crash.
 func (d Decoder) decodeEntry(e sparregistry.Entry) (fact Fact, err error) {
@@ -161,14 +184,14 @@
 // add adds a decoded entry to the roster, or the problem that it has.
 func (r *Roster) add(key string, entry decodedEntry) {
 	if entry.err != nil {
-		r.Problems = append(r.Problems, Problem{Key: key, At: entry.at, Cause: entry.err.Error()})
+		r.addProblem(key, entry.at, entry.err.Error())
 		return
 	}
 	switch fact := entry.fact.(type) {
 	case Routing:
 		r.Routing, r.RoutingAt = fact, entry.at
 		for _, cause := range fact.Refused {
-			r.Problems = append(r.Problems, Problem{Key: key, At: entry.at, Cause: cause})
+			r.addProblem(key, entry.at, cause)
 		}
 	case Upstream:
 		r.Upstreams = append(r.Upstreams, fact)
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -101,3 +101,52 @@
 		t.Errorf("upstreams %v, problems %v", roster.Upstreams, roster.Problems)
 	}
 }
+
+// TestRoutingGoesBack guards against routes that change back, or vanish, when the platform has
+// lost the operator's latest document, or holds one that can't be used.
+func TestRoutingGoesBack(t *testing.T) {
+	byVersion := func(key string, value []byte) (sparroster.Fact, error) {
+		version := uint64(0)
+		if _, err := fmt.Sscan(string(value), &version); err != nil {
+			return nil, err
+		}
+		return sparroster.Routing{Version: version, Routes: []sparroster.Route{{Address: front}}}, nil
+	}
+	entry := func(era, revision uint64, value string) sparregistry.Entry {
+		return sparregistry.Entry{Key: sparroster.RoutingKey, Value: []byte(value), Era: era, Revision: revision}
+	}
+	read := func(era, revision uint64, entries ...sparregistry.Entry) sparregistry.Registry {
+		return sparregistry.Registry{}.WithFullRead(entries, sparregistry.Position{Era: era, Revision: revision})
+	}
+	before := sparroster.New(read(1, 9, entry(1, 9, "11")), byVersion)
+	tests := []struct {
+		name     string
+		registry sparregistry.Registry
+		version  uint64
+		at       sparregistry.Position
+		problems int
+	}{
+		{"older version", read(2, 4, entry(2, 4, "9")), 11, sparregistry.Position{Era: 1, Revision: 9}, 1},
+		{"no document", read(2, 4), 11, sparregistry.Position{Era: 1, Revision: 9}, 1},
+		{"damaged document", read(2, 4, entry(2, 4, "?")), 11, sparregistry.Position{Era: 1, Revision: 9}, 1},
+		{"same version", read(2, 4, entry(2, 4, "11")), 11, sparregistry.Position{Era: 2, Revision: 4}, 0},
+		{"later version", read(2, 4, entry(2, 4, "13")), 13, sparregistry.Position{Era: 2, Revision: 4}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			roster := before.With(test.registry, byVersion)
+			if roster.Routing.Version != test.version || roster.RoutingAt != test.at {
+				t.Errorf("version %d of %v, want %d of %v", roster.Routing.Version, roster.RoutingAt, test.version, test.at)
+			}
+			if _, ok := roster.Route(front); !ok {
+				t.Error("the route is gone")
+			}
+			if len(roster.Problems) != test.problems {
+				t.Errorf("problems %v, want %d", roster.Problems, test.problems)
+			}
+			if next := roster.With(read(3, 1, entry(3, 1, "14")), byVersion); next.Routing.Version != 14 || len(next.Problems) != 0 {
+				t.Errorf("version %d with problems %v after a later document", next.Routing.Version, next.Problems)
+			}
+		})
+	}
+}
--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -138,6 +138,28 @@
 	return facts
 }
 
+// TestConfigurationGoesBack guards against an operator's document that changes back after a
+// restore: the operator writes nothing again for longer than the VM keeps what it knows.
+func TestConfigurationGoesBack(t *testing.T) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	older := s.fake.Copy()
+	s.route(4)
+	eventually(t, "version 4 in force", v.version(4))
+	s.fake.Restore(older)
+	within(t, 2*timeout, "settled on the restored platform", func() bool { return v.log.contains("settled on the restored platform") })
+	eventually(t, "a log line that says what is kept", func() bool {
+		fields, ok := v.log.find("entry left out")
+		return ok && fields["key"] == "routing" && strings.Contains(fmt.Sprint(fields["cause"]), "version 3")
+	})
+	if n := v.log.count("settings in force", `"version":3`); n > 1 {
+		t.Errorf("version 3 came into force %d times", n)
+	}
+	s.route(5)
+	within(t, inForceWithin, "version 5 in force", v.version(5))
+}
+
 // TestFollowersStayUnsettled guards against VMs that keep what they know of an earlier era for
 // good, since no later change makes them ask for anything: an upstream had left, the restored
 // platform shows it for a while, and nothing else happens.
