sparentry: VMs that a restore has unlisted register themselves again

What callers would see: after a restore from a copy of a time before a VM registered, the platform does not list it. Its peers forget it, so it falls out of the notification tree and acts on old settings for a while at each change, and VMs that start don't find it.

Cause: a VM compared its own entry with the registry, which keeps the entry of the earlier era, and waited until the registry reached the revision of its own last write, which the restored platform reaches much later or never.

Change: only an entry of the present era counts as being on the platform, for a VM's own registration, for those that seeds write, and for removals.

--- a/internal/vm/sparentry/register.go
+++ b/internal/vm/sparentry/register.go
@@ -74,7 +74,7 @@
 	key := sparroster.VMPrefix + vm.file.Name
 	expected := uint64(0)
 	text := vm.file.VM().Text()
-	if held, ok := vm.registry.Get(key); ok {
+	if held, ok := vm.onPlatform(key); ok {
 		if string(held.Value) == string(text) {
 			return
 		}
@@ -86,6 +86,13 @@
 	vm.writes.Put(ownEntry{sparregistry.Entry{Key: key, Value: text, Revision: expected}})
 }
 
+// onPlatform returns the entry of a key if the platform holds it. An entry of an earlier era
+// that is kept is not there any more.
+func (vm *VM) onPlatform(key string) (e sparregistry.Entry, ok bool) {
+	e, ok = vm.registry.Get(key)
+	return e, ok && e.Era == vm.registry.Position().Era
+}
+
 // awaitsSeeds reports whether the seeds still have time to register this VM.
 func (vm *VM) awaitsSeeds(now time.Duration) bool {
 	seed := len(vm.file.Seeds) == 0 || slices.Contains(vm.file.Seeds, vm.file.Control)
@@ -98,7 +105,7 @@
 	var entries []sparregistry.Entry
 	for _, other := range vms {
 		key := sparroster.VMPrefix + other.Name
-		if _, ok := vm.registry.Get(key); !ok {
+		if _, ok := vm.onPlatform(key); !ok {
 			entries = append(entries, sparregistry.Entry{Key: key, Value: other.Text()})
 		}
 	}
@@ -112,7 +119,7 @@
 // deregister queues the removal of the entry of a VM that has been silent for long. The
 // write fails if the entry has changed since it was read.
 func (vm *VM) deregister(name string) {
-	e, ok := vm.registry.Get(sparroster.VMPrefix + name)
+	e, ok := vm.onPlatform(sparroster.VMPrefix + name)
 	if ok && vm.writes.Put(removal{e}) {
 		vm.logDeregister(name, e.Revision)
 	}
--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -160,6 +160,29 @@
 	within(t, inForceWithin, "version 5 in force", v.version(5))
 }
 
+// TestUnlistedByRestore guards against VMs that are missing on the platform after a restore from
+// a copy of a time before they registered, and that starting VMs don't find.
+func TestUnlistedByRestore(t *testing.T) {
+	const all = `"upstreams":21`
+	s := newSite(t)
+	older := s.fake.Copy()
+	vms := []*vm{s.start("vm-1"), s.start("vm-2")}
+	registered := func(name string) func() bool {
+		return func() bool { _, ok := s.fake.Get("vm/" + name); return ok }
+	}
+	for _, v := range vms {
+		eventually(t, "all VMs are in the settings", func() bool { return v.log.contains(`"vms":2`) })
+	}
+	for i := range 20 { // the revisions that the VMs have seen are out of reach for long
+		s.register(uint64(0xa00+i), false, 1, time.Now())
+	}
+	eventually(t, "all upstreams in force", func() bool { return vms[0].log.contains(all) && vms[1].log.contains(all) })
+	s.fake.Restore(older)
+	for _, v := range vms {
+		within(t, inForceWithin, v.file.Name+" registered again", registered(v.file.Name))
+	}
+}
+
 // TestFollowersStayUnsettled guards against VMs that keep what they know of an earlier era for
 // good, since no later change makes them ask for anything: an upstream had left, the restored
 // platform shows it for a while, and nothing else happens.
