sparentry: test for a read that arrives after a restore

A response that left the platform before its restore must not bring anything back when the VM has entered the new era through a peer meanwhile.

--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -1,13 +1,17 @@
 package sparentry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/vm/sparentry"
+	"github.com/oleanderspar/oleanderspar/platform"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
@@ -183,6 +187,53 @@
 	}
 }
 
+// slowStore is a platform whose first listing reaches the VM only once it is released.
+type slowStore struct {
+	sparentry.Store
+	first   sync.Once
+	read    chan struct{} // closed when the platform has answered
+	release chan struct{}
+}
+
+func (s *slowStore) List(ctx context.Context) (l platform.Listing, err error) {
+	l, err = s.Store.List(ctx)
+	s.first.Do(func() {
+		close(s.read)
+		<-s.release
+	})
+	return l, err
+}
+
+// TestLateReadBringsBackLostState guards against a response that left the platform before its
+// restore and arrives when the VM is in the new era already, through a peer.
+func TestLateReadBringsBackLostState(t *testing.T) {
+	s := newSite(t)
+	first := s.start("vm-1")
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	older := s.fake.Copy()
+	lost := s.register(0xabc, false, 1, time.Now())
+	slow := &slowStore{read: make(chan struct{}), release: make(chan struct{})}
+	s.wrap = func(store sparentry.Store) sparentry.Store {
+		slow.Store = store
+		return slow
+	}
+	control := addr(t)
+	second := s.startAt("vm-2", control, first.file.Control, control)
+	<-slow.read
+	s.fake.Restore(older)
+	s.route(4)
+	eventually(t, "the first VM has settled", func() bool {
+		facts := first.facts()
+		return facts != nil && facts.Era == 2 && !facts.Restoring
+	})
+	eventually(t, "the second VM has the settings of the first", second.version(4))
+	close(slow.release)
+	eventually(t, "the late read is left out", func() bool { return second.log.contains("read of an earlier era left out") })
+	if second.log.contains(lost[strings.LastIndex(lost, "-")+1:]) {
+		t.Error("an upstream that the restore has lost came back")
+	}
+}
+
 // TestFollowersStayUnsettled guards against VMs that keep what they know of an earlier era for
 // good, since no later change makes them ask for anything: an upstream had left, the restored
 // platform shows it for a while, and nothing else happens.
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -34,8 +34,9 @@
 		fake     *sparfake.Store
 		store    string // address of the fake platform
 		upstream *net.UDPConn
-		key      string // of the upstream's entry in the platform
-		grace    int64  // seconds; for VMs started later
+		key      string                                // of the upstream's entry in the platform
+		grace    int64                                 // seconds; for VMs started later
+		wrap     func(sparentry.Store) sparentry.Store // for VMs started later, nil for none
 	}
 
 	// vm is one running VM.
@@ -123,7 +124,11 @@
 		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: s.grace,
 	}
 	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &logBuffer{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
-	running, err := sparentry.New(file, v.store, sparlog.New(v.log, "json", logrus.InfoLevel, sparlog.FlowBurst))
+	client := sparentry.Store(v.store)
+	if s.wrap != nil {
+		client = s.wrap(client)
+	}
+	running, err := sparentry.New(file, client, sparlog.New(v.log, "json", logrus.InfoLevel, sparlog.FlowBurst))
 	if err != nil {
 		s.t.Fatal(err)
 	}
