sparstatus: compare revisions within the newest era only

What scripts would read: 'revision 30 in force everywhere' although some VMs acted on revision 30 of the platform as it was before a restore and others on the one given out again after it; or the lost, higher revision as the newest one.

Cause: status took the highest revision that a VM reports, and equal numbers for the same.

Change: VMs report the era, and whether they keep entries of an earlier one. A revision counts as confirmed only in the newest era reported; a line says how many VMs have settled on a restored platform, another that a document is kept which the platform does not hold. Without a restore the text is as before. VMs that name no era count as present, so that a rolling update changes nothing.

--- a/internal/operator/sparstatus/status.go
+++ b/internal/operator/sparstatus/status.go
@@ -26,6 +26,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 const (
@@ -145,10 +146,16 @@
 	d := deriver{survey: s, complete: len(s.Silent) == 0}
 	r := Report{Answered: len(s.Answered), Silent: slices.Sorted(slices.Values(s.Silent))}
 	for _, a := range s.Answered {
-		r.Revision = max(r.Revision, a.Revision)
+		d.era = max(d.era, a.Era)
+	}
+	for _, a := range s.Answered {
+		if d.present(a.Era) {
+			r.Revision = max(r.Revision, a.Revision)
+		}
 	}
 	r.Facts = append(r.Facts, d.vms(r.Silent)...)
 	r.Facts = append(r.Facts, d.platform())
+	r.Facts = append(r.Facts, d.restore()...)
 	for _, name := range d.services() {
 		r.Facts = append(r.Facts, d.service(name)...)
 	}
@@ -158,7 +165,8 @@
 // deriver derives facts from one survey.
 type deriver struct {
 	survey   *sparcontrol.SurveyReply
-	complete bool // every expected VM has responded
+	complete bool   // every expected VM has responded
+	era      uint64 // of the platform: the latest that a VM has seen
 }
 
 func (d deriver) vms(silent []string) []Fact {
@@ -220,12 +228,16 @@
 		}
 		facts = append(facts, Fact{Word: Call, Text: fmt.Sprintf("service %s revision %d refused, %s: %s", name, p.Revision, kept, p.Cause)})
 	}
-	revision, n := d.revision(name)
+	at, n := d.revision(name)
+	revision := at.Revision
 	if revision == 0 {
 		return facts
 	}
 	everywhere := n == len(d.survey.Answered)
 	switch {
+	case at.Era < d.era:
+		text := fmt.Sprintf("service %s revision %d kept from before a restore, the platform does not hold it", name, revision)
+		return append(facts, Fact{Word: Hold, Text: text})
 	case everywhere && d.complete:
 		text := fmt.Sprintf("service %s revision %d in force everywhere", name, revision)
 		facts = append(facts, Fact{Word: OK, Text: text, Service: name, Everywhere: revision, Revision: revision})
@@ -234,14 +246,14 @@
 	default:
 		facts = append(facts, Fact{Word: Hold, Text: fmt.Sprintf("service %s revision %d confirmed by %d of %d VMs", name, revision, n, len(d.survey.Answered))})
 	}
-	return append(facts, d.upstreams(name, revision, everywhere)...)
+	return append(facts, d.upstreams(name, at, everywhere)...)
 }
 
 func (d deriver) problem(name string) *sparcontrol.ProblemFacts {
 	var newest *sparcontrol.ProblemFacts
 	for _, a := range d.survey.Answered {
 		for _, p := range a.Problems {
-			if p.Service == name && (newest == nil || p.Revision > newest.Revision) {
+			if p.Service == name && (newest == nil || d.position(p.Era, p.Revision).Compare(d.position(newest.Era, newest.Revision)) > 0) {
 				newest = p
 			}
 		}
@@ -249,20 +261,23 @@
 	return newest
 }
 
-// revision returns the newest revision of a service and the number of VMs that have it.
-func (d deriver) revision(name string) (revision uint64, n int) {
+// revision returns the newest revision of a service with its era, and the number of VMs that
+// have it.
+func (d deriver) revision(name string) (newest sparregistry.Position, n int) {
 	for _, a := range d.survey.Answered {
 		for _, s := range a.Services {
-			switch {
-			case s.Name != name:
-			case s.Revision > revision:
-				revision, n = s.Revision, 1
-			case s.Revision == revision:
+			if s.Name != name {
+				continue
+			}
+			switch d.position(s.Era, s.Revision).Compare(newest) {
+			case 1:
+				newest, n = d.position(s.Era, s.Revision), 1
+			case 0:
 				n++
 			}
 		}
 	}
-	return revision, n
+	return newest, n
 }
 
 // upstreamSum adds up what all VMs report about one upstream.
@@ -275,12 +290,12 @@
 	until      int64
 }
 
-func (d deriver) upstreams(name string, revision uint64, everywhere bool) []Fact {
+func (d deriver) upstreams(name string, revision sparregistry.Position, everywhere bool) []Fact {
 	sums := map[sparflow.Endpoint]*upstreamSum{}
 	var order []sparflow.Endpoint
 	for _, a := range d.survey.Answered {
 		for _, s := range a.Services {
-			if s.Name != name || s.Revision != revision {
+			if s.Name != name || d.position(s.Era, s.Revision) != revision {
 				continue
 			}
 			for _, u := range s.Upstreams {
@@ -295,7 +310,7 @@
 	}
 	var facts []Fact
 	for _, at := range order {
-		facts = append(facts, d.upstream(name, revision, everywhere, sums[at]))
+		facts = append(facts, d.upstream(name, revision.Revision, everywhere, sums[at]))
 	}
 	return facts
 }
