sparentry: a VM that starts beside a restore ends nothing that others keep

What callers would see: flows of upstreams that the copy lacks are reset although the upstreams live and register again within two seconds, where a VM is started or restarted in that time.

Cause: a VM that starts knows only what the restored platform shows. Nothing there seemed missing to it, so its registry counted as complete in the new era, and the others took that over and gave up what they kept. In the same way a VM with older settings than others ended what these kept, since nothing was missing for it.

Change: no VM counts as settled before the time for missing entries is over, and a VM that starts on a platform that was ever restored waits for that as well, unless a settled peer tells it otherwise. Ruled out: telling the time of the restore from the platform, which names the era only.

Evidence: TestStartEndsWhatOthersKeep failed before and passes.

--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -220,8 +220,10 @@
 	}).Warn("platform went back")
 }
 
-// logRestored logs that this VM enters an era of the platform that follows another one.
-func (vm *VM) logRestored(held, at sparregistry.Position, from origin) {
+// logRestored logs that this VM enters an era of the platform that follows another one. held is
+// 0 for a VM that starts.
+func (vm *VM) logRestored(at sparregistry.Position, from origin) {
+	held := vm.registry.Position()
 	vm.metrics.restores.Add(1)
 	vm.log.WithFields(logrus.Fields{
 		"before_era": held.Era, "held": held.Revision, "era": at.Era, "revision": at.Revision, "source": from.source,
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -12,8 +12,12 @@
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
-// sourcePlatform is the source of settings that this VM has read itself.
-const sourcePlatform = "platform"
+const (
+	// sourcePlatform is the source of settings that this VM has read itself.
+	sourcePlatform = "platform"
+	// firstEra is the era of a platform that was never restored.
+	firstEra = 1
+)
 
 type (
 	// readRequest requests a read of the platform: of the registered VMs if vms is set,
@@ -136,30 +140,38 @@
 	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
 }
 
-// observe records the position of the platform that a full read or a peer shows. An era that
-// follows another one means that the platform was restored from an older copy.
+// observe records the position of the platform that a full read or a peer shows, and begins to
+// keep entries if the platform may have been restored recently.
 func (vm *VM) observe(at sparregistry.Position, from origin, now time.Duration) {
-	held := vm.registry.Position()
-	if from.source == sourcePlatform {
+	own := from.source == sourcePlatform
+	if own {
 		vm.logWentBack(vm.platformAt, at)
 		vm.platformAt = at
 	}
-	restored := held.Era > 0 && at.Era > held.Era || !vm.synced && at.Revision == 0
-	if restored {
-		vm.logRestored(held, at, from)
+	if vm.entersRestored(at) && (own || vm.synced || at.Revision == 0) {
+		vm.logRestored(at, from)
 		vm.sync.Restored(now)
 	}
 }
 
+// entersRestored reports whether at is of a later era than the settings, so that the platform was
+// restored. A VM without settings can't know when it was.
+func (vm *VM) entersRestored(at sparregistry.Position) bool {
+	held := vm.registry.Position()
+	if !vm.synced {
+		return at.Era > firstEra
+	}
+	return held.Era > 0 && at.Era > held.Era
+}
+
 // withFullRead returns the registry updated from a full read. After an outage of the
 // platform, entries of live upstreams may have expired; missing entries are kept for a while.
 // The registry then differs from the platform, so it keeps its previous position, both here
 // and in notifications to other VMs.
 func (vm *VM) withFullRead(r fullRead, now time.Duration) sparregistry.Registry {
-	held := vm.registry.Position()
 	settling := vm.sync.Failing() || vm.sync.Settling(now)
 	switch {
-	case vm.synced && held.Era > 0 && r.At.Era > held.Era || vm.registry.Restoring():
+	case vm.entersRestored(r.At) || vm.registry.Restoring():
 		return vm.withRestoredRead(r, settling, now)
 	case settling:
 		if missing := vm.registry.Missing(sparroster.UpstreamPrefix, r.Entries); missing > 0 {
@@ -173,10 +185,11 @@
 
 // withRestoredRead does the same after a restore of the platform. Its copy may be of a time
 // before writes that were acknowledged, of this VM too, so entries that it lacks or shows at an
-// earlier state are kept until their writers have had time to write them again.
+// earlier state are kept until their writers have had time to write them again. Other VMs may
+// keep some that this one never held, so it does not count as settled before either.
 func (vm *VM) withRestoredRead(r fullRead, settling bool, now time.Duration) sparregistry.Registry {
 	missing, later := vm.registry.Kept(r.Entries, r.At)
-	if vm.sync.Doubting(now) && (later > 0 || settling && missing > 0) {
+	if settling || later > 0 && vm.sync.Doubting(now) {
 		vm.logKept(r.At, missing, later, settling)
 		return vm.registry.WithRestoredRead(r.Entries, r.At, settling)
 	}
--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -187,6 +187,35 @@
 	}
 }
 
+// TestStartEndsWhatOthersKeep guards against a VM that starts right after a restore, knows only
+// what the restored platform shows, and makes the others give up an upstream that is about to
+// register again.
+func TestStartEndsWhatOthersKeep(t *testing.T) {
+	const id = 0xabc
+	s := newSite(t)
+	first := s.start("vm-1")
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	older := s.fake.Copy()
+	born := time.Now()
+	s.register(id, false, 1, born)
+	eventually(t, "the upstream is in force", first.upstreamLine(id, "upstream listed"))
+	s.fake.Restore(older)
+	control := addr(t)
+	second := s.startAt("vm-2", control, first.file.Control, control)
+	eventually(t, "the second VM is ready", second.ready)
+	time.Sleep(1500 * time.Millisecond) // upstreams register again within two seconds
+	s.register(id, false, 1, born)
+	for _, v := range []*vm{first, second} {
+		within(t, 2*inForceWithin, "settled", func() bool {
+			facts := v.facts()
+			return facts != nil && facts.Era == 2 && !facts.Restoring
+		})
+		if v.upstreamLine(id, "upstream left")() {
+			t.Errorf("%s gave the upstream up", v.file.Name)
+		}
+	}
+}
+
 // slowStore is a platform whose first listing reaches the VM only once it is released.
 type slowStore struct {
 	sparentry.Store
