sparsoak: restore the store from older copies, beside all other faults

The soak held what VMs do against the store's history under every fault but one that takes history away. The operator and the upstreams write again within two seconds, entries of upstreams that are gone lapse after three heartbeats. A VM that stays in an earlier era, or keeps entries for long, breaks a promise.

An upstream's statements carry a rising sequence, as real ones do.

--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -54,6 +54,7 @@
 		VMs       int           // default 6
 		Upstreams int           // of the service booking, default 6
 		Users     int           // concurrent users that open flows, default 24
+		Restores  bool          // the store is also restored from older copies
 		Keep      string        // directory for the logs of the VMs, empty for none
 		Progress  func(line string)
 	}
@@ -109,7 +110,12 @@
 	}
 	wg.Go(func() { t.checkRoutes(ctx) })
 	wg.Go(func() { t.checkStatuses(ctx) })
+	faulty, end := context.WithCancel(ctx)
+	if p.Restores {
+		wg.Go(func() { t.restores(faulty) })
+	}
 	t.injectFaults(ctx)
+	end()
 	t.endFaults()
 	sleep(ctx, recoveryTime)
 	before := t.checker.snapshot()
--- a/internal/proof/sparsoak/status.go
+++ b/internal/proof/sparsoak/status.go
@@ -29,7 +29,12 @@
 		if err != nil {
 			continue // an unreachable VM reports nothing that could be wrong
 		}
-		t.checker.checkStatus(v, facts, t.store.History())
+		history, era := t.store.History()
+		if facts.Era != era || facts.Restoring {
+			t.checker.checkEra(v, facts, era)
+			continue
+		}
+		t.checker.checkStatus(v, facts, history)
 	}
 }
 
--- a/internal/vm/sparentry/restore_test.go
+++ b/internal/vm/sparentry/restore_test.go
@@ -33,9 +33,9 @@
 }
 
 // register writes the entry of an upstream.
-func (s *site) register(id uint64, draining bool, count int, born time.Time) (key string) {
+func (s *site) register(id uint64, draining bool, born time.Time) (key string) {
 	key, entry := sparfake.Entry(id, "booking", "north", s.upstream.LocalAddr().String(), draining, born)
-	s.fake.Put(key, []byte(strings.Replace(string(entry), `"sequence":1`, fmt.Sprintf(`"sequence":%d`, count), 1)))
+	s.fake.Put(key, entry)
 	return key
 }
 
@@ -91,23 +91,23 @@
 		},
 		{
 			"upstream drains",
-			func(s *site) { s.register(id, false, 1, born) },
-			func(s *site) { s.register(id, true, 2, born) },
+			func(s *site) { s.register(id, false, born) },
+			func(s *site) { s.register(id, true, born) },
 			func(v *vm) func() bool { return v.upstreamLine(id, "upstream listed") },
 			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":true`) },
 			inForceWithin,
 		},
 		{
 			"upstream restarts",
-			func(s *site) { s.register(id, true, 7, born) },
-			func(s *site) { s.register(id, false, 1, born.Add(time.Second)) },
+			func(s *site) { s.register(id, true, born) },
+			func(s *site) { s.register(id, false, born.Add(time.Second)) },
 			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":true`) },
 			func(v *vm) func() bool { return v.upstreamLine(id, `"draining":false`) },
 			inForceWithin,
 		},
 		{
 			"upstream leaves",
-			func(s *site) { s.register(id, false, 1, born) },
+			func(s *site) { s.register(id, false, born) },
 			func(*site) {},
 			func(v *vm) func() bool { return v.upstreamLine(id, "upstream listed") },
 			func(v *vm) func() bool { return v.upstreamLine(id, "upstream left") },
@@ -178,7 +178,7 @@
 		eventually(t, "all VMs are in the settings", func() bool { return v.log.contains(`"vms":2`) })
 	}
 	for i := range 20 { // the revisions that the VMs have seen are out of reach for long
-		s.register(uint64(0xa00+i), false, 1, time.Now())
+		s.register(uint64(0xa00+i), false, time.Now())
 	}
 	eventually(t, "all upstreams in force", func() bool { return vms[0].log.contains(all) && vms[1].log.contains(all) })
 	s.fake.Restore(older)
@@ -197,14 +197,14 @@
 	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
 	older := s.fake.Copy()
 	born := time.Now()
-	s.register(id, false, 1, born)
+	s.register(id, false, born)
 	eventually(t, "the upstream is in force", first.upstreamLine(id, "upstream listed"))
 	s.fake.Restore(older)
 	control := addr(t)
 	second := s.startAt("vm-2", control, first.file.Control, control)
 	eventually(t, "the second VM is ready", second.ready)
 	time.Sleep(1500 * time.Millisecond) // upstreams register again within two seconds
-	s.register(id, false, 1, born)
+	s.register(id, false, born)
 	for _, v := range []*vm{first, second} {
 		within(t, 2*inForceWithin, "settled", func() bool {
 			facts := v.facts()
@@ -240,7 +240,7 @@
 	first := s.start("vm-1")
 	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
 	older := s.fake.Copy()
-	lost := s.register(0xabc, false, 1, time.Now())
+	lost := s.register(0xabc, false, time.Now())
 	slow := &slowStore{read: make(chan struct{}), release: make(chan struct{})}
 	s.wrap = func(store sparentry.Store) sparentry.Store {
 		slow.Store = store
@@ -269,7 +269,7 @@
 func TestFollowersStayUnsettled(t *testing.T) {
 	const id = 0xabc
 	s := newSite(t)
-	key := s.register(id, false, 1, time.Now())
+	key := s.register(id, false, time.Now())
 	vms := []*vm{s.start("vm-1"), s.start("vm-2"), s.start("vm-3")}
 	for _, v := range vms {
 		eventually(t, "all VMs are in the settings", func() bool { return v.log.contains(`"vms":3`) })
