sparnode: raise an era of our own when the key-value service has gone back

Cause: the VMs order documents by the service's index, which goes back; unlike the users' store this service does not count its restores.

Change: the era is a key there. A VM whose read shows an earlier position than its read before raises it by compare-and-swap, and no read counts until the service shows that era. Whatever is read together with a higher era was read later, so raising it without need (an old read that arrives late) does no harm. Heartbeats, pulls, loads, claims, facts and the engine's comparisons use positions. Ruled out: counting restores in each VM, since VMs that missed one could not be told from others.

Open: documents that a restore has lost go back to those of the copy until they are written again, since a copy's document can't be told from a later one by the index alone.

--- a/internal/member/sparmember/member.go
+++ b/internal/member/sparmember/member.go
@@ -22,6 +22,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
 
@@ -71,12 +72,12 @@
 		Incarnation uint64
 		Owns        bool // may own slots
 		Leaving     bool
-		Synced      bool     // its settings hold a full read
-		Revision    uint64   // of its settings
-		Digest      uint32   // of its settings, folded
-		View        uint32   // digest of its view, folded
-		Unreachable []string // targets without a heartbeat within peerTimeout, in name order
-		Full        bool     // VM contains the addresses, not only the name
+		Synced      bool                  // its settings hold a full read
+		At          sparregistry.Position // of its settings
+		Digest      uint32                // of its settings, folded
+		View        uint32                // digest of its view, folded
+		Unreachable []string              // targets without a heartbeat within peerTimeout, in name order
+		Full        bool                  // VM contains the addresses, not only the name
 	}
 
 	// Tracker tracks the membership of the VMs of a deployment on behalf of one of them.
@@ -234,11 +235,11 @@
 }
 
 // Heartbeat returns the heartbeat of this VM with the given settings.
-func (t *Tracker) Heartbeat(revision, digest uint64, now time.Duration) Heartbeat {
+func (t *Tracker) Heartbeat(at sparregistry.Position, digest uint64, now time.Duration) Heartbeat {
 	h := Heartbeat{
 		VM: t.self, Incarnation: t.incarnation, Synced: t.synced,
 		Owns: vmChart.Has(t.state, owns), Leaving: t.state == "leaving",
-		Revision: revision, Digest: Fold(digest), View: Fold(t.view.Digest),
+		At: at, Digest: Fold(digest), View: Fold(t.view.Digest),
 	}
 	for _, vm := range t.Targets() {
 		if p := t.peers[vm.Name]; p == nil || !t.live(p, now) {
--- a/internal/operator/sparwrite/write.go
+++ b/internal/operator/sparwrite/write.go
@@ -114,7 +114,7 @@
 // Set writes the document of a service. A revision above 0 must be the one that the
 // platform holds.
 func (w Writer) Set(ctx context.Context, service string, d sparconfig.Document, revision uint64) (wrote uint64, err error) {
-	if _, err := d.Service(w.Team+"/"+service, 0); err != nil {
+	if _, err := d.Service(w.Team+"/"+service, sparregistry.Position{}); err != nil {
 		return 0, errors.WithType(err, ErrInvalid)
 	}
 	base, err := w.Get(ctx, service)
@@ -167,7 +167,7 @@
 	if base.Revision == 0 || base.Document.Removed {
 		return d, errors.WithType(errors.Errorf("service %s", service), ErrMissing)
 	}
-	checked, err := base.Document.Service("check/check", 0)
+	checked, err := base.Document.Service("check/check", sparregistry.Position{})
 	if err != nil {
 		return d, errors.WithType(err, ErrInvalid)
 	}
--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparstream"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparroute"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 type (
@@ -53,7 +54,7 @@
 	h := r.Heartbeat
 	beat := &Beat{
 		Vm: &VM{Name: h.VM.Name}, Full: h.Full, Incarnation: h.Incarnation, Owns: h.Owns, Leaving: h.Leaving,
-		Synced: h.Synced, Revision: h.Revision, Digest: h.Digest, View: h.View, Deaf: h.Unreachable,
+		Synced: h.Synced, Era: h.At.Era, Revision: h.At.Revision, Digest: h.Digest, View: h.View, Deaf: h.Unreachable,
 		Stamp: uint64(r.Stamp),
 	}
 	if h.Full {
@@ -123,7 +124,7 @@
 	r = Report{
 		Heartbeat: sparmember.Heartbeat{
 			VM: vm, Full: b.Full, Incarnation: b.Incarnation, Owns: b.Owns, Leaving: b.Leaving,
-			Synced: b.Synced, Revision: b.Revision, Digest: b.Digest, View: b.View, Unreachable: b.Deaf,
+			Synced: b.Synced, At: sparregistry.Position{Era: b.Era, Revision: b.Revision}, Digest: b.Digest, View: b.View, Unreachable: b.Deaf,
 		},
 		Stamp: spartimeline.Stamp(b.Stamp),
 	}
--- a/internal/route/sparroute/engine.go
+++ b/internal/route/sparroute/engine.go
@@ -36,6 +36,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/member/sparmember"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
 
@@ -79,7 +80,7 @@
 		now            time.Duration
 		wall           time.Time
 		snapshot       sparconfig.Snapshot
-		firstRevision  uint64 // revision of the first settings applied
+		first          sparregistry.Position // of the first settings applied
 		applied        bool
 		view           sparmember.View
 		me             int // index in view.Members, or -1
--- a/internal/route/sparroute/settings.go
+++ b/internal/route/sparroute/settings.go
@@ -10,7 +10,7 @@
 // Apply puts settings in force.
 func (e *Engine) Apply(s sparconfig.Snapshot) {
 	if !e.applied {
-		e.applied, e.firstRevision = true, s.Revision
+		e.applied, e.first = true, s.At
 	}
 	e.snapshot = s
 	clear(e.byService)
@@ -25,7 +25,7 @@
 		g := e.groups[name]
 		if g == nil {
 			e.create(service)
-		} else if g.service.Revision != service.Revision {
+		} else if g.service.At != service.At {
 			e.update(g, service)
 		}
 	}
@@ -57,7 +57,7 @@
 		carries: map[sparflow.Endpoint]bool{}, flows: map[sparflow.Key]flow{},
 		load: newLoad(), health: map[sparflow.Endpoint]*sparhealth.Health{}, held: map[sparflow.Key]bool{}, dirty: map[uint16]bool{}, ended: map[sparflow.Key]bool{},
 	}
-	fresh := service.Revision > e.firstRevision
+	fresh := service.At.Compare(e.first) > 0
 	e.groups[service.Name] = g
 	e.refresh(g, true)
 	for n := range g.slots {
--- a/internal/settings/sparconfig/config_test.go
+++ b/internal/settings/sparconfig/config_test.go
@@ -38,7 +38,7 @@
 	r = r.With(sparregistry.Entry{Key: key, Value: []byte(goodDocument), Revision: 7})
 	r = r.With(sparregistry.Entry{Key: key, Value: []byte("{}"), Revision: 5})
 	s := sparconfig.Snapshot{}.With(r)
-	fmt.Println(s.Service("kalk/booking").Revision, len(s.Problems))
+	fmt.Println(s.Service("kalk/booking").At.Revision, len(s.Problems))
 	// Output: 7 0
 }
 
@@ -54,10 +54,10 @@
 	r := claims.With(sparregistry.Entry{Key: key, Value: []byte(goodDocument), Revision: 7})
 	before := sparconfig.Snapshot{}.With(r)
 	after := before.With(r.With(sparregistry.Entry{Key: key, Value: []byte(`{"adress": 1}`), Revision: 9}))
-	if s := after.Service("kalk/booking"); s == nil || s.Revision != 7 {
+	if s := after.Service("kalk/booking"); s == nil || s.At.Revision != 7 {
 		t.Fatalf("service %v, want revision 7", s)
 	}
-	if len(after.Problems) != 1 || after.Problems[0].Revision != 9 || after.Problems[0].Kept != 7 {
+	if len(after.Problems) != 1 || after.Problems[0].At.Revision != 9 || after.Problems[0].Kept != 7 {
 		t.Errorf("problems %+v", after.Problems)
 	}
 }
--- a/internal/settings/sparconfig/service.go
+++ b/internal/settings/sparconfig/service.go
@@ -29,6 +29,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
 const (
@@ -88,8 +89,8 @@
 
 	// Service is the settings of one service, from a valid document.
 	Service struct {
-		Name      string // team/service
-		Revision  uint64
+		Name      string                // team/service
+		At        sparregistry.Position // of its document
 		Address   sparflow.Endpoint
 		Proto     sparflow.Proto
 		Upstreams []Upstream
@@ -145,7 +146,7 @@
 	if err := decode(text, &d); err != nil {
 		return Document{}, err
 	}
-	if _, err := d.Service("check/check", 0); err != nil {
+	if _, err := d.Service("check/check", sparregistry.Position{}); err != nil {
 		return Document{}, err
 	}
 	return d, nil
@@ -158,8 +159,8 @@
 }
 
 // Service checks d and returns the service that it describes.
-func (d Document) Service(name string, revision uint64) (s Service, err error) {
-	s = Service{Name: name, Revision: revision}
+func (d Document) Service(name string, at sparregistry.Position) (s Service, err error) {
+	s = Service{Name: name, At: at}
 	if s.Address, err = sparflow.ParseEndpoint(d.Address); err != nil {
 		return Service{}, errors.Annotate(err, "address")
 	}
--- a/internal/settings/sparconfig/snapshot.go
+++ b/internal/settings/sparconfig/snapshot.go
@@ -12,7 +12,7 @@
 type (
 	// Snapshot is the set of services in force. The zero Snapshot has none.
 	Snapshot struct {
-		Revision uint64
+		At       sparregistry.Position
 		Digest   uint64
 		Problems []Problem
 
@@ -23,10 +23,10 @@
 
 	// Problem is a refused document.
 	Problem struct {
-		Service  string
-		Revision uint64
-		Cause    string
-		Kept     uint64 // revision of the last valid document, 0 if there is none
+		Service string
+		At      sparregistry.Position // of the document
+		Cause   string
+		Kept    uint64 // revision of the last valid document, 0 if there is none
 	}
 
 	binding struct {
@@ -39,7 +39,7 @@
 // the service as it is in s, unless another service has claimed one of its addresses.
 func (s Snapshot) With(r sparregistry.Registry) Snapshot {
 	next := Snapshot{
-		Revision: r.Position().Revision, Digest: r.Digest(),
+		At: r.Position(), Digest: r.Digest(),
 		services: map[string]*Service{}, byAddress: map[binding]*Service{}, byUpstream: map[binding]*Service{},
 	}
 	for _, e := range r.Under(TeamPrefix) {
@@ -49,13 +49,13 @@
 		}
 		service, err := parseService(r, name, e)
 		if err != nil {
-			problem := Problem{Service: name, Revision: e.Revision, Cause: err.Error()}
+			problem := Problem{Service: name, At: e.Position(), Cause: err.Error()}
 			service = s.services[name]
 			if service != nil && checkClaims(r, service) != nil {
 				service = nil
 			}
 			if service != nil {
-				problem.Kept = service.Revision
+				problem.Kept = service.At.Revision
 			}
 			next.Problems = append(next.Problems, problem)
 		}
@@ -118,7 +118,7 @@
 	if d.Removed {
 		return nil, nil
 	}
-	checked, err := d.Service(name, e.Revision)
+	checked, err := d.Service(name, e.Position())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stand/sparstore/store.go
+++ b/internal/stand/sparstore/store.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -108,6 +109,27 @@
 	}
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	values map[string]value
+	index  uint64
+}
+
+// Copy returns a copy of the content, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{values: maps.Clone(s.values), index: s.index}
+}
+
+// Restore replaces the content by an older copy. The index goes back, and watches end.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values, s.index = maps.Clone(c.values), c.index
+	s.notify()
+}
+
 // ServeHTTP implements the KV interface, and sets the faults on PUT /trouble.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == faultsPath {
@@ -161,7 +183,8 @@
 	defer deadline.Stop()
 	for after > 0 && index <= after {
 		changed := s.nextChange()
-		if pairs, index = s.read(key, recurse); index > after {
+		before := index
+		if pairs, index = s.read(key, recurse); index > after || index < before {
 			break
 		}
 		select {
--- a/internal/vm/sparnode/claims.go
+++ b/internal/vm/sparnode/claims.go
@@ -22,14 +22,22 @@
 		Revision uint64
 	}
 
+	// RaiseEra asks to write the era to the platform if its key has not changed since Revision, 0
+	// if it was absent. It is repeated with each read until the platform has reached the era.
+	RaiseEra struct {
+		Era      uint64
+		Revision uint64
+	}
+
 	// unusedClaim is a claim without a document that names its address.
 	unusedClaim struct {
-		revision uint64
-		since    time.Duration
+		at    sparregistry.Position // of the claim
+		since time.Duration
 	}
 )
 
 func (ReleaseClaim) output() {}
+func (RaiseEra) output()     {}
 
 // releaseClaims asks to release the claims that have been unused for claimGrace. Only the
 // first member of the view does so, and only while every VM that should respond has these
@@ -52,8 +60,8 @@
 			continue
 		}
 		u, known := n.unusedClaims[e.Key]
-		if !known || u.revision != e.Revision {
-			n.unusedClaims[e.Key] = unusedClaim{revision: e.Revision, since: n.now}
+		if !known || u.at != e.Position() {
+			n.unusedClaims[e.Key] = unusedClaim{at: e.Position(), since: n.now}
 			continue
 		}
 		if n.now-u.since >= claimGrace {
--- a/internal/vm/sparnode/facts.go
+++ b/internal/vm/sparnode/facts.go
@@ -14,7 +14,7 @@
 	_, waiting := n.Engine.Owned()
 	facts := &sparcontrol.FactsReply{
 		Vm: sparcontrol.FromVM(n.self), State: string(n.Tracker.State()), Incarnation: n.incarnation,
-		Revision: n.inForce, Digest: n.snapshot.Digest, View: view.Digest, Settled: view.Settled,
+		Era: n.inForce.Era, Revision: n.inForce.Revision, Digest: n.snapshot.Digest, View: view.Digest, Settled: view.Settled,
 		Members: uint32(len(view.Members)), Waiting: uint32(waiting),
 	}
 	for name, service := range n.snapshot.Services() {
@@ -23,14 +23,14 @@
 	slices.SortFunc(facts.Services, func(a, b *sparcontrol.ServiceFacts) int { return strings.Compare(a.Name, b.Name) })
 	for _, p := range n.snapshot.Problems {
 		facts.Problems = append(facts.Problems, &sparcontrol.ProblemFacts{
-			Service: p.Service, Revision: p.Revision, Cause: p.Cause, Kept: p.Kept,
+			Service: p.Service, Era: p.At.Era, Revision: p.At.Revision, Cause: p.Cause, Kept: p.Kept,
 		})
 	}
 	return facts
 }
 
 func (n *Node) serviceFacts(name string, service *sparconfig.Service) *sparcontrol.ServiceFacts {
-	facts := &sparcontrol.ServiceFacts{Name: name, Revision: service.Revision}
+	facts := &sparcontrol.ServiceFacts{Name: name, Era: service.At.Era, Revision: service.At.Revision}
 	for _, u := range service.Upstreams {
 		state := n.Engine.UpstreamState(name, u.At)
 		facts.Upstreams = append(facts.Upstreams, &sparcontrol.UpstreamFacts{
--- a/internal/vm/sparnode/lab_test.go
+++ b/internal/vm/sparnode/lab_test.go
@@ -232,6 +232,10 @@
 				delete(l.entries, out.Key)
 				l.revision++
 			}
+		case sparnode.RaiseEra:
+			if l.entries[sparconfig.EraKey].Revision == out.Revision && !l.down && !l.blocked(vm.name, "platform") {
+				l.put(sparconfig.EraKey, sparconfig.EraText(out.Era))
+			}
 		case sparnode.Release:
 			if h, ok := vm.held[out.Key]; ok {
 				delete(vm.held, out.Key)
@@ -255,7 +259,7 @@
 func (l *lab) pull(vm *labVM, p sparnode.Pull) {
 	requester := vm.name
 	l.send(requester, p.From.Name, 0, func(peer *labVM) {
-		delta := peer.node.Registry().Delta(sparregistry.Position{Revision: p.After})
+		delta := peer.node.Registry().Delta(p.After)
 		l.send(peer.name, requester, l.settingsDelay(requester), func(vm *labVM) { vm.node.Merge(delta) })
 	})
 }
--- a/internal/vm/sparnode/node.go
+++ b/internal/vm/sparnode/node.go
@@ -39,7 +39,7 @@
 
 type (
 	// Output is something for the caller of a node to do. It is a sealed interface: Beat,
-	// Frame, Pull, ReleaseClaim or Release.
+	// Frame, Pull, RaiseEra, ReleaseClaim or Release.
 	Output interface {
 		output()
 	}
@@ -56,10 +56,10 @@
 		Message sparcontrol.Message
 	}
 
-	// Pull requests the settings changed after a revision from a peer.
+	// Pull requests the settings changed after a position from a peer.
 	Pull struct {
 		From  sparconfig.VM
-		After uint64
+		After sparregistry.Position
 	}
 
 	// Release asks to pass a held packet to Engine.Forward again.
@@ -84,7 +84,10 @@
 		lastBeat       time.Duration
 		heartbeats     int
 		lastPulls      map[string]lastPull
-		inForce        uint64
+		inForce        sparregistry.Position
+		lastRead       sparregistry.Position // of the platform by this VM
+		wantedEra      uint64                // that the platform must reach before its reads count again
+		raise          []Output              // RaiseEra to return with the next outputs
 		lastClaimCheck time.Duration
 		unusedClaims   map[string]unusedClaim
 	}
@@ -161,7 +164,7 @@
 	loads := map[string][]sparroute.Count{}
 	for _, l := range r.Loads {
 		service := n.snapshot.Service(l.Service)
-		if service == nil || service.Revision != l.Revision || len(service.Upstreams) != len(l.Flows) {
+		if service == nil || service.At != (sparregistry.Position{Era: r.Heartbeat.At.Era, Revision: l.Revision}) || len(service.Upstreams) != len(l.Flows) {
 			continue
 		}
 		for i, flows := range l.Flows {
@@ -214,7 +217,8 @@
 
 // Effects returns the outputs that result from effects of the engine since the last call.
 func (n *Node) Effects() []Output {
-	var outs []Output
+	outs := n.raise
+	n.raise = nil
 	for _, effect := range n.Engine.Effects() {
 		switch effect := effect.(type) {
 		case sparroute.Release:
@@ -249,7 +253,7 @@
 	var list []sparcontrol.ServiceLoad
 	for name, counts := range n.Engine.Loads() {
 		service := n.snapshot.Service(name)
-		load := sparcontrol.ServiceLoad{Service: name, Revision: service.Revision}
+		load := sparcontrol.ServiceLoad{Service: name, Revision: service.At.Revision}
 		loaded := false
 		for _, c := range counts {
 			load.Flows = append(load.Flows, c.Flows)
--- a/internal/vm/sparnode/status_test.go
+++ b/internal/vm/sparnode/status_test.go
@@ -32,7 +32,7 @@
 		if f.Everywhere > 0 {
 			for _, vm := range l.vms {
 				s := vm.node.Snapshot().Service(f.Service)
-				if !vm.stopped && vm.node.Tracker.State() == "serving" && (s == nil || s.Revision < f.Everywhere) {
+				if !vm.stopped && vm.node.Tracker.State() == "serving" && (s == nil || s.At.Revision < f.Everywhere) {
 					lines = append(lines, f.Text+" but not at "+vm.name)
 				}
 			}
--- a/internal/vm/sparserver/calls.go
+++ b/internal/vm/sparserver/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
@@ -84,14 +85,17 @@
 	}
 }
 
-// releaseClaims deletes unused claims in the platform.
-func (s *Server) releaseClaims(ctx context.Context) error {
+// writePlatform deletes unused claims in the platform and raises its era.
+func (s *Server) writePlatform(ctx context.Context) error {
 	for {
 		select {
 		case out := <-s.claims.Out():
 			if _, err := s.store.Delete(ctx, out.Key, out.Revision); err != nil {
 				s.log.WithError(err).Debug("releasing a claim failed") // retried later
 			}
+		case out := <-s.eras.Out():
+			raised, err := s.store.Swap(ctx, sparconfig.EraKey, sparconfig.EraText(out.Era), out.Revision)
+			s.log.WithFields(logrus.Fields{"era": out.Era, "raised": raised, "error": err}).Warn("platform was restored from an older copy")
 		case <-ctx.Done():
 			return nil
 		}
@@ -107,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	peer := sparcontrol.Dial(pull.From.Control, s.metrics.countBytes(http.DefaultTransport))
-	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: pull.After})
+	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: pull.After.Revision, Era: pull.After.Era})
 	if err != nil {
 		return sparregistry.Delta{}, err
 	}
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -45,7 +45,7 @@
 // Pull implements Control.
 func (h handler) Pull(ctx context.Context, r *sparcontrol.PullRequest) (*sparcontrol.PullReply, error) {
 	delta, err := sparring.Query(ctx, h.server.queries, func(s *Server) sparregistry.Delta {
-		return s.node.Registry().Delta(sparregistry.Position{Revision: r.After})
+		return s.node.Registry().Delta(sparregistry.Position{Era: r.Era, Revision: r.After})
 	})
 	if err != nil {
 		return nil, err
--- a/internal/vm/sparserver/server.go
+++ b/internal/vm/sparserver/server.go
@@ -7,7 +7,7 @@
 //	readData ─────packets──▶ eventLoop ──sends──▶ writeData
 //	readControl ──inputs───▶   │  ◀─────queries── twirp handlers
 //	watchPlatform ─inputs──▶   ├───────pulls────▶ pullSettings
-//	                           └───────claims───▶ releaseClaims
+//	                           └───────claims───▶ writePlatform
 //
 //	server, err := sparserver.New(file, log)
 //	err = server.Run(ctx, abort) // returns once the VM has handed over
@@ -68,6 +68,7 @@
 		inputs    *sparring.Ring[input]
 		pulls     *sparring.Ring[sparnode.Pull]
 		claims    *sparring.Ring[sparnode.ReleaseClaim]
+		eras      *sparring.Ring[sparnode.RaiseEra]
 		queries   *sparring.Queries[*Server]
 		buffers   sync.Pool
 		held      *heldPackets
@@ -125,7 +126,7 @@
 		node:    sparnode.New(file, uint64(began.UnixMilli()), 0, began),
 		packets: sparring.New[*packet](packetRing), sends: sparring.New[*packet](sendRing),
 		inputs: sparring.New[input](inputRing), pulls: sparring.New[sparnode.Pull](pullRing),
-		claims: sparring.New[sparnode.ReleaseClaim](pullRing), queries: sparring.NewQueries[*Server](queryRing), held: newHeldPackets(), metrics: newMetrics(),
+		claims: sparring.New[sparnode.ReleaseClaim](pullRing), eras: sparring.New[sparnode.RaiseEra](1), queries: sparring.NewQueries[*Server](queryRing), held: newHeldPackets(), metrics: newMetrics(),
 		fabric: netip.MustParseAddrPort(file.Fabric), peers: map[string]netip.AddrPort{},
 		watch: make(chan bool, 1),
 	}
@@ -153,7 +154,7 @@
 	group.Go(s.writeData)
 	group.Go(s.watchPlatform)
 	group.Go(s.pullSettings)
-	group.Go(s.releaseClaims)
+	group.Go(s.writePlatform)
 	group.Go(s.serveControl)
 	group.Go(func(workers context.Context) error {
 		defer cancel()
@@ -278,6 +279,8 @@
 			s.pulls.Put(out)
 		case sparnode.ReleaseClaim:
 			s.claims.Put(out)
+		case sparnode.RaiseEra:
+			s.eras.Put(out) // if the ring is full, one is under way
 		case sparnode.Release:
 			if p := s.held.take(out.Key); p != nil {
 				s.forward(p)
