--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -51,9 +51,6 @@
 	// settleTime is how long entries may be missing after the platform has recovered: the
 	// time upstreams need to register again, and one read.
 	settleTime = 2500 * time.Millisecond
-	// silentBeats is the number of missed heartbeats after which the platform removes the
-	// entry of an upstream. Those of upstreams that are gone come back with a restore.
-	silentBeats = 3
 )
 
 var (
@@ -73,15 +70,15 @@
 
 	// Sync is the state of one VM. Use New to create it.
 	Sync struct {
-		self      sparconfig.VM
-		bound     time.Duration
-		doubtTime time.Duration // how long the platform may show what a restore has brought back
-		state     sparchart.State
-		held      Held
-		freshAt   time.Duration // when the settings were last known to be complete, 0 before the first
-		peers     map[string]*peer
-		seeds     []*peer
-		orders    map[int][]string // cached results of names, by slot
+		self    sparconfig.VM
+		bound   time.Duration
+		beat    time.Duration // between two heartbeats of an upstream to the platform
+		state   sparchart.State
+		held    Held
+		freshAt time.Duration // when the settings were last known to be complete, 0 before the first
+		peers   map[string]*peer
+		seeds   []*peer
+		orders  map[int][]string // cached results of names, by slot
 
 		source       readRound     // of the read that freshAt stems from
 		rounds       uint64        // successful reads of this VM
@@ -92,7 +89,7 @@
 		backoff      time.Duration
 		failing      bool
 		recoveredAt  time.Duration            // when the platform answered again after a failure
-		restoredAt   time.Duration            // when a new era of the platform was first seen
+		restoredAt   time.Duration            // when a later era of the platform was first seen
 		outages      map[string]time.Duration // when the platform failed to answer a VM
 		target       target
 		current      Notification  // notification that the pull under way follows; its age is relative to time 0
@@ -119,7 +116,7 @@
 // bound of their acknowledgement, and upstreams write to the platform at intervals of beat.
 func New(self sparconfig.VM, bound, beat time.Duration) *Sync {
 	return &Sync{
-		self: self, bound: bound, doubtTime: max(settleTime, silentBeats*beat+time.Duration(readShare*float64(bound))), state: chart.Start(), backoff: minBackoff, start: start{seed: true},
+		self: self, bound: bound, beat: beat, state: chart.Start(), backoff: minBackoff, start: start{seed: true},
 		peers: map[string]*peer{}, orders: map[int][]string{}, outages: map[string]time.Duration{},
 	}
 }
@@ -150,15 +147,6 @@
 	return s.recoveredAt > 0 && now-s.recoveredAt < settleTime
 }
 
-// Restored is called when a new era of the platform is first seen.
-func (s *Sync) Restored(now time.Duration) { s.recoveredAt, s.restoredAt = now, now }
-
-// Doubting reports whether the platform was restored so recently that it may still show
-// entries of writers that are gone, or values that their writers have replaced.
-func (s *Sync) Doubting(now time.Duration) bool {
-	return s.restoredAt > 0 && now-s.restoredAt < s.doubtTime
-}
-
 // SetHeld sets what the registry holds now. If that is what the pull under way was to bring,
 // the settings are as fresh as its notification said.
 func (s *Sync) SetHeld(held Held) {
--- a/internal/peer/sparcontrol/delta.go
+++ b/internal/peer/sparcontrol/delta.go
@@ -16,7 +16,7 @@
 // a fleet are alike, so they compress to a fraction of their size.
 func EncodeDelta(d sparregistry.Delta) []byte {
 	return s2.Encode(nil, marshal(&Share{
-		After: d.After.Revision, Afterera: d.After.Era, Entries: convert(d.Entries, fromEntry), Base: d.Base,
+		After: d.After.Revision, Entries: convert(d.Entries, fromEntry), Base: d.Base,
 		Revision: d.At.Revision, Era: d.At.Era, Synced: d.Synced,
 	}))
 }
@@ -44,11 +44,14 @@
 	if err := proto.Unmarshal(plain, &m); err != nil {
 		return sparregistry.Delta{}, err
 	}
-	return sparregistry.Delta{
-		After:   sparregistry.Position{Era: m.Afterera, Revision: m.After},
+	d = sparregistry.Delta{
 		Entries: convert(m.Entries, toEntry), Base: m.Base,
 		At: sparregistry.Position{Era: m.Era, Revision: m.Revision}, Synced: m.Synced,
-	}, nil
+	}
+	if m.After > 0 {
+		d.After = sparregistry.Position{Era: m.Era, Revision: m.After}
+	}
+	return d, nil
 }
 
 func fromEntry(e sparregistry.Entry) *Entry {
--- a/internal/proof/sparsoak/restore.go
+++ b/internal/proof/sparsoak/restore.go
@@ -26,12 +26,32 @@
 	minBetweenRestores = 3 * time.Second
 	maxBetweenRestores = 8 * time.Second
 	maxRestoreOutage   = 1500 * time.Millisecond
+	lastChanges        = 3 // of routes, after the last restore
 )
 
+// injectWithRestores injects the faults of the plan and restores the store meanwhile. Once they have
+// ended it restores the store once more and changes routes, so that revisions which the VMs
+// have seen are given out again when nothing else disturbs the checks.
+func (t *testbed) injectWithRestores(ctx context.Context) {
+	rng := newRand(t.plan.Seed, 4) // of its own, so that the other faults of a seed stay the same
+	faulty, end := context.WithCancel(ctx)
+	oldest := make(chan sparfake.Copy, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() { oldest <- t.restores(faulty, rng) })
+	t.injectFaults(ctx)
+	end()
+	wg.Wait()
+	t.endFaults()
+	t.restore(<-oldest, 0, rng)
+	for range lastChanges {
+		t.changeRoutes()
+		sleep(ctx, rng.between(0, time.Second))
+	}
+}
+
 // restores makes copies of the store and restores it from one of them, now and then, until ctx
-// ends. Its random source is its own, so that the other faults of a seed stay the same.
-func (t *testbed) restores(ctx context.Context) {
-	rng := newRand(t.plan.Seed, 4)
+// ends. It returns the oldest copy left.
+func (t *testbed) restores(ctx context.Context, rng *random) sparfake.Copy {
 	copies := []sparfake.Copy{t.store.Copy()}
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -49,6 +69,7 @@
 		next = time.Now().Add(rng.between(minBetweenRestores, maxBetweenRestores))
 		wg.Go(func() { t.restore(older, outage, rng) })
 	}
+	return copies[0]
 }
 
 // restore puts the store back to an older copy, after an outage. Then its writers write again what
--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -110,13 +110,12 @@
 	}
 	wg.Go(func() { t.checkRoutes(ctx) })
 	wg.Go(func() { t.checkStatuses(ctx) })
-	faulty, end := context.WithCancel(ctx)
 	if p.Restores {
-		wg.Go(func() { t.restores(faulty) })
+		t.injectWithRestores(ctx)
+	} else {
+		t.injectFaults(ctx)
+		t.endFaults()
 	}
-	t.injectFaults(ctx)
-	end()
-	t.endFaults()
 	sleep(ctx, recoveryTime)
 	before := t.checker.snapshot()
 	sleep(ctx, measureTime)
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -47,7 +47,7 @@
 	}
 
 	// Delta is what a VM sends to a peer of its registry: the entries that have changed
-	// after a position and the deletions on record since then, or a full copy.
+	// after a position of the same era and the deletions on record since then, or a full copy.
 	Delta struct {
 		After   Position // zero for a full copy
 		Entries []Entry
@@ -105,9 +105,9 @@
 }
 
 // Delta returns the delta for a peer whose registry is complete at after. It returns a full
-// copy if after is zero or of another era.
+// copy if after is at no revision or of another era.
 func (r Registry) Delta(after Position) Delta {
-	if after.Era != r.at.Era {
+	if after.Era != r.at.Era || after.Revision == 0 {
 		after = Position{}
 	}
 	d := Delta{After: after, Entries: []Entry{}, Base: r.baseDigest(after), At: r.at, Synced: r.synced}
