sparentry: log a platform that went back also after incremental reads

The line compared the full read with the incremental read just before it, which had shown the new era already. A VM that keeps nothing no longer says that it keeps 0 entries.

--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -235,11 +235,15 @@
 // logKept logs how many entries of earlier eras this VM keeps although a read of the restored
 // platform lacks them or shows an earlier state of them.
 func (vm *VM) logKept(at sparregistry.Position, missing, later int, settling bool) {
-	fields := logrus.Fields{"later": later, "missing": 0, "era": at.Era, "revision": at.Revision}
-	if settling {
-		fields["missing"] = missing
+	if !settling {
+		missing = 0
 	}
-	vm.log.WithFields(fields).Warn("entries kept that the restored platform has lost")
+	if missing+later == 0 {
+		return
+	}
+	vm.log.WithFields(logrus.Fields{
+		"later": later, "missing": missing, "era": at.Era, "revision": at.Revision,
+	}).Warn("entries kept that the restored platform has lost")
 }
 
 // logSettled logs that the restored platform decides alone again. missing and later are the
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -125,10 +125,11 @@
 			return
 		}
 		size = r.Bytes
+		vm.recordPlatform(r.At)
 		vm.observe(r.At, origin{source: sourcePlatform}, now)
 		vm.adopt(vm.withFullRead(r, now), origin{source: sourcePlatform})
 	case incrementalRead:
-		vm.platformAt = r.reached
+		vm.recordPlatform(r.reached)
 		next, ok := vm.registry.WithChanges(r.Entries, r.Revisions, in.after, r.reached)
 		if !ok {
 			vm.logIncompleteChanges(in.after, r)
@@ -140,15 +141,17 @@
 	vm.perform(vm.sync.ReadDone(in.began, vm.held(), size, now), now)
 }
 
-// observe records the position of the platform that a full read or a peer shows, and begins to
-// keep entries if the platform may have been restored recently.
+// recordPlatform records the position of the platform that a read has shown.
+func (vm *VM) recordPlatform(at sparregistry.Position) {
+	vm.logWentBack(vm.platformAt, at)
+	vm.platformAt = at
+}
+
+// observe begins to keep entries if a full read or a peer shows that the platform may have been
+// restored recently. A settled peer has done so before.
 func (vm *VM) observe(at sparregistry.Position, from origin, now time.Duration) {
-	own := from.source == sourcePlatform
-	if own {
-		vm.logWentBack(vm.platformAt, at)
-		vm.platformAt = at
-	}
-	if vm.entersRestored(at) && (own || vm.synced || at.Revision == 0) {
+	settledPeer := from.source != sourcePlatform && at.Revision > 0
+	if vm.entersRestored(at) && (vm.synced || !settledPeer) {
 		vm.logRestored(at, from)
 		vm.sync.Restored(now)
 	}
