--- a/internal/member/sparsync/fleet_test.go
+++ b/internal/member/sparsync/fleet_test.go
@@ -359,3 +359,39 @@
 	m.refused = false
 	s.waitReady(500 * time.Millisecond)
 }
+
+// TestFleetRestored guards against a fleet that hands itself over in full for too long after the
+// platform was restored from an older copy, while settings go on changing: with and without an
+// outage of two seconds before.
+func TestFleetRestored(t *testing.T) {
+	for _, f := range fleets {
+		for _, outage := range []time.Duration{0, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%d VMs, outage of %v", f.n, outage), func(t *testing.T) {
+				t.Parallel()
+				s := f.settled(t)
+				for _, m := range s.vms {
+					m.refused = outage > 0
+				}
+				s.run(outage)
+				s.restore(5)
+				for _, m := range s.vms {
+					m.refused = false
+				}
+				s.calls, s.read, s.fullPulls, s.busiest = 0, 0, 0, 0
+				s.churn(f.bound + keepTime)
+				t.Logf("%d calls, %d KB read, %.1f full copies a VM while settings change", s.calls, s.read/1000, float64(s.fullPulls)/float64(f.n))
+				s.slowest, s.fullPulls = 0, 0
+				s.churn(2 * time.Second)
+				s.change()
+				s.run(f.bound + time.Second)
+				t.Logf("the next change is in force after %v", s.slowest)
+				if s.fullPulls > f.n/8 {
+					t.Errorf("%d full copies are pulled once all have settled", s.fullPulls)
+				}
+				if s.busiest > 2 {
+					t.Errorf("a VM hands its settings to %d at once, want at most 2", s.busiest)
+				}
+			})
+		}
+	}
+}
--- a/internal/member/sparsync/sync_test.go
+++ b/internal/member/sparsync/sync_test.go
@@ -130,6 +130,7 @@
 			s.churn(6 * time.Second)
 			s.fullPulls = 0
 			s.churn(4 * time.Second)
+			s.run(bound + time.Second)
 			if s.fullPulls > one.n/8 {
 				t.Errorf("%d full copies are pulled once all have settled", s.fullPulls)
 			}
