sparentry: set what a permit sends under its lock

A pull that its caller cancels is closed by the request's goroutine, which reads whether a full copy is sent, while the event loop may be deciding that. A permit closed at that moment could have counted against the other kind of pulls.

The event loop decides it in a local variable now and sets it in admit, under the lock and only on a permit that is still open. go test -race -count=12 beside eight busy processes: 12 of 12.

--- a/internal/vm/sparentry/pull.go
+++ b/internal/vm/sparentry/pull.go
@@ -65,14 +65,15 @@
 
 func (served) input() {}
 
-// admit admits the peer of the permit unless this VM is overloaded. Otherwise referral is
-// another peer with the same settings, if one is known.
-func (p *permit) admit(vm *VM) (referral sparconfig.VM, ok bool) {
+// admit admits the peer of the permit unless this VM is overloaded. full reports whether it is
+// sent a full copy. Otherwise referral is another peer with the same settings, if one is known.
+func (p *permit) admit(vm *VM, full bool) (referral sparconfig.VM, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return sparconfig.VM{}, false
 	}
+	p.full = full
 	referral, p.admitted = vm.sync.Serve(p.to, p.full)
 	p.digest = vm.registry.Digest()
 	return referral, p.admitted
@@ -129,14 +130,14 @@
 		},
 		key: deltaKey{digest: vm.registry.Digest(), at: vm.registry.Position(), after: p.after},
 	}
-	p.full = p.after.Revision == 0 || p.after.Era != d.key.at.Era
-	if p.full {
+	full := p.after.Revision == 0 || p.after.Era != d.key.at.Era
+	if full {
 		d.key.after = sparregistry.Position{}
 	}
 	if !d.reply.Synced {
 		return d
 	}
-	referral, ok := p.admit(vm)
+	referral, ok := p.admit(vm, full)
 	if !ok {
 		vm.metrics.busy.Add(1)
 		d.reply.Busy = true
