review: a damaged entry of a draining upstream lets a VM reset its open flows

Case 1, rule FLOW, as a script: another writer leaves bytes that can't be read in the entry of an upstream that drains and has open flows. The VM takes the upstream for one that has stopped and resets a flow at the first repeated packet, while the upstream works on the request.

--- /dev/null
+++ b/review/_standin/cases.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/platform/sparfake"
+)
+
+const (
+	deadline = 600 * time.Millisecond // of a request
+	// margin is added to each bound before a late packet counts, for the delays of this machine.
+	margin = 100 * time.Millisecond
+
+	bookingWork = 15 * time.Millisecond
+	sheetWork   = 5 * time.Millisecond
+	// longWork is longer than the 200 ms after which clients retransmit, and within the deadline.
+	longWork = 350 * time.Millisecond
+)
+
+// deploy starts VMs and servers: four of the booking service and one of the sheets.
+func (s *site) deploy(vms int) (booking []*sparfake.Server, sheets *sparfake.Server, err error) {
+	zones := []string{"south-a", "south-b"}
+	for n := range vms {
+		s.addVM(fmt.Sprintf("vm-%d", n), zones[n%len(zones)])
+	}
+	for n := range 4 {
+		server, err := s.addServer(0x1100+uint64(n), "booking", zones[n%len(zones)], bookingWork)
+		if err != nil {
+			return nil, nil, err
+		}
+		booking = append(booking, server)
+	}
+	if sheets, err = s.addServer(0x2200, "sheets", zones[0], sheetWork); err != nil {
+		return nil, nil, err
+	}
+	if err := s.startVMs(); err != nil {
+		return nil, nil, err
+	}
+	time.Sleep(touchTime)
+	return booking, sheets, nil
+}
+
+// request opens a flow to a route, sends one request on it and closes it.
+func (s *site) request(c *sparfake.Client, route sparflow.Endpoint, name string) (served bool) {
+	f, err := c.Open(route)
+	if err != nil {
+		s.note("client: %s has no flow: %v", name, err)
+		return false
+	}
+	response, err := f.Do(name, deadline)
+	s.note("client: %s answered %q, error %v", name, response, err)
+	f.Close()
+	return err == nil
+}
+
+// requests sends requests through each VM until end.
+func (s *site) requests(route sparflow.Endpoint, end time.Time) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, v := range s.vms {
+		c, err := s.newClient(v)
+		if err != nil {
+			return err
+		}
+		wg.Go(func() {
+			defer c.Close()
+			for n := 0; time.Now().Before(end); n++ {
+				s.request(c, route, fmt.Sprintf("%s-%d", v.name, n))
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	return nil
+}
+
+// resetByVM: another writer leaves unreadable bytes in the entry of a server that drains, while
+// it works on requests of its open flows.
+func resetByVM(s *site, trouble bool) error {
+	if _, _, err := s.deploy(3); err != nil {
+		return err
+	}
+	leaving, err := s.addServer(0x3300, "booking", "south-a", longWork)
+	if err != nil {
+		return err
+	}
+	time.Sleep(touchTime)
+	c, err := s.newClient(s.vms[0])
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	flows, err := s.openAt(c, leaving, 8)
+	if err != nil {
+		return err
+	}
+	leaving.Drain()
+	s.register(leaving)
+	time.Sleep(beat) // every VM has read it
+	s.waitBeat()
+	if trouble {
+		s.foreignWrite(leaving, "\x00\x01 no entry")
+	}
+	for n, f := range flows {
+		name := fmt.Sprintf("hold-%d", n)
+		response, err := f.Do(name, deadline)
+		s.note("client: %s answered %q, error %v", name, response, err)
+		if errors.Is(err, sparfake.ErrReset) && !f.ResetByServer {
+			s.violated("FLOW: the flow of %s, open at server %x, which lives, was reset by the VM %s", name, leaving.ID, f.ResetBy)
+		}
+	}
+	return nil
+}
+
+// openAt opens flows until count of them are at a server, and returns these. The others stay
+// open, so that the VM spreads them evenly.
+func (s *site) openAt(c *sparfake.Client, server *sparfake.Server, count int) (flows []*sparfake.Flow, err error) {
+	for range 400 {
+		f, err := c.Open(bookingRoute)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(5 * time.Millisecond)
+		client, _ := f.Ends()
+		if s.opened(server, client) {
+			flows = append(flows, f)
+		}
+		if len(flows) == count {
+			return flows, nil
+		}
+	}
+	return nil, fmt.Errorf("only %d flows are at server %x", len(flows), server.ID)
+}
+
+// drainIgnored: another writer leaves an entry without a version and a sequence for a server
+// that drains.
+func drainIgnored(s *site, trouble bool) error {
+	booking, _, err := s.deploy(3)
+	if err != nil {
+		return err
+	}
+	leaving := booking[0]
+	leaving.Drain()
+	acked := s.register(leaving)
+	if trouble {
+		go func() {
+			time.Sleep(drainBound)
+			s.waitBeat()
+			s.foreignWrite(leaving, incomplete(leaving, leaving.Service))
+		}()
+	}
+	if err := s.requests(bookingRoute, acked.Add(9*time.Second)); err != nil {
+		return err
+	}
+	for _, o := range s.openingsAt(leaving) {
+		if late := o.at.Sub(acked); late > drainBound+margin {
+			s.violated("DRAIN: server %x took the opening packet of %s through %s %d ms after its draining was acknowledged", leaving.ID, o.client, o.vm, late.Milliseconds())
+		}
+	}
+	return nil
+}
+
+// wrongService: another writer leaves an entry without a version and a sequence for a server,
+// with another service.
+func wrongService(s *site, trouble bool) error {
+	_, sheets, err := s.deploy(3)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	if trouble {
+		go func() {
+			s.waitBeat()
+			s.foreignWrite(sheets, incomplete(sheets, "booking"))
+		}()
+	}
+	if err := s.requests(bookingRoute, began.Add(5*time.Second)); err != nil {
+		return err
+	}
+	for _, r := range s.runsAt(sheets) {
+		if r.route == bookingRoute {
+			s.violated("ROUTE: server %x of %s has run %q of the route %s, which goes to booking", sheets.ID, sheets.Service, r.request, r.route)
+		}
+	}
+	return nil
+}
+
+// incomplete returns an entry of a server without its version and sequence.
+func incomplete(server *sparfake.Server, service string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"max_concurrency":2,"state":"ready","warmup_left_ms":0}`, service, server.At, server.Zone)
+}
+
+// noStart: the grace time of the settings gets a fraction, and the VMs are restarted in turn.
+func noStart(s *site, trouble bool) error {
+	if _, _, err := s.deploy(2); err != nil {
+		return err
+	}
+	if err := s.requests(bookingRoute, time.Now().Add(2*time.Second)); err != nil {
+		return err
+	}
+	for _, v := range s.vms {
+		v.grace = 7
+		if trouble {
+			v.grace = 6.5
+		}
+		if err := v.writeSettings(); err != nil {
+			return err
+		}
+		v.signal(syscall.SIGHUP)
+	}
+	time.Sleep(touchTime)
+	for _, v := range s.vms {
+		if err := s.restart(v); err != nil {
+			return err
+		}
+	}
+	return s.requests(bookingRoute, time.Now().Add(2*time.Second))
+}
+
+// restart stops a VM with SIGTERM and starts it again, as often as its process ends by itself.
+func (s *site) restart(v *vm) error {
+	const tries = 4
+	v.signal(syscall.SIGTERM)
+	if !v.waitExit(exitTimeout) {
+		return fmt.Errorf("%s has not stopped", v.name)
+	}
+	for range tries {
+		time.Sleep(500 * time.Millisecond)
+		if err := v.start(); err != nil {
+			return err
+		}
+		if v.waitReady(2 * time.Second) {
+			s.note("%s: ready", v.name)
+			return nil
+		}
+	}
+	s.violated("Fault: %s does not start with the grace time %v s, %d tries", v.name, v.grace, tries)
+	return nil
+}
