--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
@@ -26,7 +29,7 @@
 func (s *site) deploy(vms int) (booking []*sparfake.Server, sheets *sparfake.Server, err error) {
 	zones := []string{"south-a", "south-b"}
 	for n := range vms {
-		s.addVM(fmt.Sprintf("vm-%d", n), zones[n%len(zones)])
+		s.addVM(fmt.Sprintf("vm-%d", n), zones[n/2%len(zones)])
 	}
 	for n := range 4 {
 		server, err := s.addServer(0x1100+uint64(n), "booking", zones[n%len(zones)], bookingWork)
@@ -241,3 +244,98 @@
 	s.violated("Fault: %s does not start with the grace time %v s, %d tries", v.name, v.grace, tries)
 	return nil
 }
+
+// staleSettings: the VM that reads the store loses power right after a read, and another one that
+// stood still then wakes. The third VM is never disturbed.
+func staleSettings(s *site, trouble bool) error {
+	const rounds = 15
+	if _, _, err := s.deploy(3); err != nil {
+		return err
+	}
+	byPrecedence := slices.Clone(s.vms)
+	slices.SortFunc(byPrecedence, func(a, b *vm) int {
+		return cmp.Compare(sparrank.Weight(0, sparrank.Hash(b.name)), sparrank.Weight(0, sparrank.Hash(a.name)))
+	})
+	reader, sleeper, calm := byPrecedence[0], byPrecedence[1], byPrecedence[2]
+	c, err := s.newClient(calm)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for n := range rounds {
+		route := sparflow.MakeEndpoint(sheetRoute.IP(), 9000+uint16(n))
+		if err := s.dropRoute(trouble, route, reader, sleeper, calm, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dropRoute adds a route, removes it again while reader and sleeper are in trouble, and checks
+// until when the calm VM serves it.
+func (s *site) dropRoute(trouble bool, route sparflow.Endpoint, reader, sleeper, calm *vm, c *sparfake.Client) error {
+	const (
+		beforeRead = 400 * time.Millisecond  // after a read, before the next one
+		wakeAfter  = 1570 * time.Millisecond // after the read
+		darkFor    = 3500 * time.Millisecond
+		watchFor   = 3600 * time.Millisecond
+	)
+	s.routes = append(s.routes, sparfake.Route{At: route, Service: "booking"})
+	s.publish()
+	time.Sleep(beat) // every VM has read it
+	if !s.waitReader(reader) {
+		return fmt.Errorf("%s does not read the store", reader.name)
+	}
+	time.Sleep(beforeRead)
+	if trouble {
+		sleeper.signal(syscall.SIGSTOP)
+	}
+	read, ok := s.nextCall()
+	if !ok || read.vm != reader {
+		return errors.New("another VM reads the store")
+	}
+	s.note("%s reads the store", reader.name)
+	time.Sleep(20 * time.Millisecond)
+	if trouble {
+		reader.signal(syscall.SIGKILL)
+	}
+	s.routes = s.routes[:len(s.routes)-1]
+	s.publish()
+	acked := time.Now()
+	var wg sync.WaitGroup
+	if trouble {
+		wg.Go(func() {
+			time.Sleep(time.Until(read.at.Add(wakeAfter)))
+			sleeper.signal(syscall.SIGCONT)
+		})
+		wg.Go(func() {
+			time.Sleep(time.Until(read.at.Add(darkFor)))
+			if err := reader.start(); err != nil {
+				s.note("%s: %v", reader.name, err)
+			}
+		})
+	}
+	for n := 0; time.Since(read.at) < watchFor; n++ {
+		sent := time.Now()
+		name := fmt.Sprintf("%s-%d", route, n)
+		if s.request(c, route, name) && sent.Sub(acked) > applyBound {
+			s.violated("CONFIG: %s, sent through %s %d ms after the removal of its route was acknowledged, has run", name, calm.name, sent.Sub(acked).Milliseconds())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+	if !reader.waitReady(readyTimeout) {
+		return fmt.Errorf("%s is not ready", reader.name)
+	}
+	return nil
+}
+
+// waitReader waits until a VM reads the store.
+func (s *site) waitReader(v *vm) bool {
+	for range 40 {
+		if c, ok := s.nextCall(); ok && c.vm == v {
+			return true
+		}
+	}
+	return false
+}
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -45,8 +45,8 @@
 		dir   string
 		began time.Time
 		store *sparfake.Store
-		web   *http.Server
-		at    string // of the store
+		web   []*http.Server // of the store, one for each VM
+		calls chan call
 		port  uint16 // of data sockets and clients
 		ctrl  uint16
 		vms   []*vm
@@ -72,7 +72,8 @@
 		data  netip.AddrPort
 		ready string
 		ctrl  string
-		force any // value of the setting force
+		force any    // value of the setting force
+		store string // address at which the store serves this VM
 		grace any
 
 		mu     sync.Mutex
@@ -81,6 +82,12 @@
 		log    *os.File
 	}
 
+	// call is a call of a VM to the store.
+	call struct {
+		vm *vm
+		at time.Time
+	}
+
 	// opening is a flow that a server accepted.
 	opening struct {
 		server        *sparfake.Server
@@ -104,17 +111,10 @@
 
 // newSite starts the store. The VMs and servers follow.
 func newSite(record io.Writer) (s *site, err error) {
-	s = &site{began: time.Now(), store: sparfake.NewStore(), record: record}
+	s = &site{began: time.Now(), store: sparfake.NewStore(), calls: make(chan call, 1), record: record}
 	if s.dir, err = os.MkdirTemp(os.Getenv("KEEP"), "review"); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s.at = listener.Addr().String()
-	s.web = &http.Server{Handler: s.store}
-	go func() { _ = s.web.Serve(listener) }()
 	if s.port, s.ctrl, err = freePorts(); err != nil {
 		return nil, err
 	}
@@ -229,9 +229,44 @@
 	return v
 }
 
+// serveStore serves a VM at an address of its own, to tell which VM calls.
+func (s *site) serveStore(v *vm) error {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.calls <- call{v, time.Now()}:
+		default: // nobody waits for a call
+		}
+		s.store.ServeHTTP(w, r)
+	})}
+	v.store, s.web = listener.Addr().String(), append(s.web, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// nextCall waits for the next call of any VM to the store.
+func (s *site) nextCall() (c call, ok bool) {
+	select {
+	case <-s.calls: // an earlier one
+	default:
+	}
+	select {
+	case c = <-s.calls:
+		return c, true
+	case <-time.After(applyBound):
+		return call{}, false
+	}
+}
+
 // startVMs starts all VMs and waits until they are ready.
 func (s *site) startVMs() error {
 	for _, v := range s.vms {
+		if err := s.serveStore(v); err != nil {
+			return err
+		}
 		if err := v.writeSettings(); err != nil {
 			return err
 		}
@@ -256,7 +291,7 @@
 	}
 	text, err := json.MarshalIndent(map[string]any{
 		"carrier": "cookie", "name": v.name, "domain": v.zone, "data": v.data.String(), "ready": v.ready, "control": v.ctrl,
-		"platform": v.site.at, "seeds": seeds, "force": v.force, "grace": v.grace, "beat": beat.Milliseconds(),
+		"platform": v.store, "seeds": seeds, "force": v.force, "grace": v.grace, "beat": beat.Milliseconds(),
 		"log": "json", "flows": 100000,
 	}, "", "\t")
 	if err != nil {
@@ -340,7 +375,9 @@
 		v.waitExit(exitTimeout)
 		_ = v.log.Close()
 	}
-	_ = s.web.Close()
+	for _, server := range s.web {
+		_ = server.Close()
+	}
 	if os.Getenv("KEEP") == "" { // otherwise the settings and logs of the VMs stay
 		_ = os.RemoveAll(s.dir)
 	}
