review: large settings on slow links leave all VMs with old ones

Case 1, rules CONFIG and DRAIN, as a script: the configuration grows to 1,037,171 bytes, on VMs whose links have 10 Mbit/s. CallTimeout (900 ms) bounds the whole transfer of a range or of the changes, so that no read ends in time: a route that is removed after that and an upstream that then drains go on getting flows until the run ends, 10 s after the acknowledgements; the bound there is 5 s.

--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -16,6 +16,8 @@
 
 const (
 	deadline = 600 * time.Millisecond // of a request
+	// grownBound is the bound of the grown site, for its configuration and for servers that drain.
+	grownBound = 5 * time.Second
 	// margin is added to each bound before a late packet counts, for the delays of this machine.
 	margin = 100 * time.Millisecond
 
@@ -339,3 +341,63 @@
 	}
 	return false
 }
+
+// largeSettings: the configuration grows in steps to nearly the largest value of the store, on VMs
+// with links of 10 Mbit/s. Then a route is removed and a server drains.
+func largeSettings(s *site, trouble bool) error {
+	const (
+		steps    = 5
+		growth   = 1240 // routes a step
+		stepTime = 2 * time.Second
+		watchFor = 10 * time.Second
+	)
+	s.bound, s.bitRate = grownBound, 10_000_000
+	removed := sparfake.Route{At: sparflow.MakeEndpoint(sheetRoute.IP(), 9000), Service: "booking"}
+	s.routes = append(s.routes, removed)
+	s.publish()
+	booking, _, err := s.deploy(3)
+	if err != nil {
+		return err
+	}
+	for step := range steps {
+		if trouble {
+			for n := range growth {
+				at := sparflow.MakeEndpoint(0xc6130000+uint32(step*growth+n), 8443)
+				s.routes = append(s.routes, sparfake.Route{At: at, Service: "sheets"})
+			}
+		}
+		s.publish()
+		time.Sleep(stepTime)
+	}
+	s.routes = slices.DeleteFunc(s.routes, func(r sparfake.Route) bool { return r == removed })
+	s.publish()
+	acked := time.Now()
+	leaving := booking[0]
+	leaving.Drain()
+	drained := s.register(leaving)
+	time.Sleep(grownBound + time.Second)
+	if err := s.requests(removed.At, time.Now().Add(2*time.Second)); err != nil {
+		return err
+	}
+	if err := s.requests(bookingRoute, acked.Add(watchFor)); err != nil {
+		return err
+	}
+	s.checkOpenings(removed.At, acked, leaving, drained)
+	return nil
+}
+
+// checkOpenings checks that no server has accepted a flow on a removed route after the bound, and
+// that the server that drains has accepted none after its bound.
+func (s *site) checkOpenings(removed sparflow.Endpoint, acked time.Time, leaving *sparfake.Server, drained time.Time) {
+	s.mu.Lock()
+	openings := slices.Clone(s.openings)
+	s.mu.Unlock()
+	for _, o := range openings {
+		if late := o.at.Sub(acked); o.route == removed && late > grownBound+margin {
+			s.violated("CONFIG: server %x took an opening packet of the removed route through %s %d ms after its removal was acknowledged", o.server.ID, o.vm, late.Milliseconds())
+		}
+		if late := o.at.Sub(drained); o.server == leaving && late > grownBound+margin {
+			s.violated("DRAIN: server %x took the opening packet of %s through %s %d ms after its draining was acknowledged", leaving.ID, o.client, o.vm, late.Milliseconds())
+		}
+	}
+}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,7 +20,7 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) error{
-	"reset": resetByVM, "drain": drainIgnored, "route": wrongService, "start": noStart, "stale": staleSettings,
+	"reset": resetByVM, "drain": drainIgnored, "route": wrongService, "start": noStart, "stale": staleSettings, "large": largeSettings,
 }
 
 func main() {
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -51,6 +51,8 @@
 		ctrl  uint16
 		vms   []*vm
 
+		bound   time.Duration // for changes of the configuration
+		bitRate int           // of the link from each VM to the store, 0 for no limit
 		version uint64
 		routes  []sparfake.Route
 		clients byte
@@ -111,7 +113,7 @@
 
 // newSite starts the store. The VMs and servers follow.
 func newSite(record io.Writer) (s *site, err error) {
-	s = &site{began: time.Now(), store: sparfake.NewStore(), calls: make(chan call, 1), record: record}
+	s = &site{began: time.Now(), store: sparfake.NewStore(), calls: make(chan call, 1), bound: applyBound, record: record}
 	if s.dir, err = os.MkdirTemp(os.Getenv("KEEP"), "review"); err != nil {
 		return nil, err
 	}
@@ -155,8 +157,9 @@
 // publish writes the operator's configuration in its next version.
 func (s *site) publish() {
 	s.version += 3
-	s.store.Put(sparfake.RoutingKey, sparfake.Routing(s.version, s.routes))
-	s.note("operator: version %d with %d routes acknowledged", s.version, len(s.routes))
+	text := configuration(s.version, s.routes)
+	s.store.Put(sparfake.RoutingKey, text)
+	s.note("operator: version %d with %d routes and %d bytes acknowledged", s.version, len(s.routes), len(text))
 }
 
 // addServer starts a server and registers it.
@@ -222,7 +225,7 @@
 	n := byte(len(s.vms))
 	v := &vm{
 		site: s, name: name, zone: zone, data: loopback(81, n, s.port), ctrl: loopback(81, n, s.ctrl).String(),
-		ready: loopback(82, n, s.ctrl).String(), force: applyBound.Milliseconds(), grace: graceTime,
+		ready: loopback(82, n, s.ctrl).String(), force: s.bound.Milliseconds(), grace: graceTime,
 	}
 	v.file = filepath.Join(s.dir, name+".json")
 	s.vms = append(s.vms, v)
@@ -244,6 +247,14 @@
 	})}
 	v.store, s.web = listener.Addr().String(), append(s.web, server)
 	go func() { _ = server.Serve(listener) }()
+	if s.bitRate == 0 {
+		return nil
+	}
+	l, err := newLink(v.store, s.bitRate)
+	if err != nil {
+		return err
+	}
+	v.store = l.listener.Addr().String()
 	return nil
 }
 
