platform, sparentry, sparsync: bound calls by their progress, not by their total time

Cause: each call had a timeout of its whole. The document is 1.4 MB in base64 and takes 1.1 s on such a link, a call ended after 0.9 s and was made again in the same way. The log of the code as found says so for each read ("list: context deadline exceeded"). Ruled out: the store (answers at once), the peers (the reader itself stays at version 18).

Changes that exceed the size of the last full read end, a full read takes their place. Large changes count as full copies in what a VM serves at a time. A pull under way keeps its place while it makes progress.

The simulation of sparsync had the timeouts of the code; it now has sizes and progress instead.

--- a/internal/member/sparsync/output.go
+++ b/internal/member/sparsync/output.go
@@ -15,9 +15,11 @@
 	}
 
 	// Read requests a read of the platform: an incremental read of the changes after a
-	// position, or a full read if After is zero.
+	// position, or a full read if After is zero. Changes of more than Limit bytes, the size of
+	// the last full read, count as incomplete.
 	Read struct {
 		After sparregistry.Position
+		Limit int
 	}
 
 	// ListVMs requests the list of VMs registered at the platform. Its result goes to
--- a/internal/member/sparsync/pull.go
+++ b/internal/member/sparsync/pull.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// deltaTimeout is the time after which a pull of changes no longer keeps another one
-	// from starting.
+	// deltaTimeout is the time without progress after which a pull of changes no longer keeps
+	// another one from starting.
 	deltaTimeout = 250 * time.Millisecond
 	// fullTimeout is the same for a pull of everything, which takes longer by about the same
 	// factor on a slow link.
@@ -87,13 +87,17 @@
 
 // startPull records that a pull is under way, with its deadline.
 func (s *Sync) startPull(p Pull, now time.Duration) Output {
-	s.pulling, s.pullDeadline = true, now+deltaTimeout
+	s.pullTimeout = deltaTimeout
 	if p.After.IsZero() {
-		s.pullDeadline = now + fullTimeout
+		s.pullTimeout = fullTimeout
 	}
+	s.pulling, s.pullDeadline = true, now+s.pullTimeout
 	return p
 }
 
+// PullProgressed is called while the settings that a Pull requested are arriving.
+func (s *Sync) PullProgressed(now time.Duration) { s.pullDeadline = now + s.pullTimeout }
+
 // pullPending reports whether a pull is under way and has not timed out.
 func (s *Sync) pullPending(now time.Duration) bool { return s.pulling && now < s.pullDeadline }
 
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -48,7 +48,7 @@
 	if !s.Synced() || s.failing || s.Settling(now) || s.held.At.Revision == 0 || s.size <= budget {
 		return Read{}
 	}
-	return Read{After: s.held.At}
+	return Read{After: s.held.At, Limit: s.size}
 }
 
 // ReadDone is called when a read that began at began has succeeded and held is what the
@@ -74,8 +74,8 @@
 	return append(s.forward(now), s.notifyWaiting(now)...)
 }
 
-// ReadIncomplete is called when an incremental read lacks some changes, so that it says nothing
-// about freshness. A full read takes its place and begins at now.
+// ReadIncomplete is called when an incremental read lacks some changes, or has more bytes than
+// a full read, so that it says nothing about freshness. A full read takes its place and begins at now.
 func (s *Sync) ReadIncomplete(now time.Duration) []Output {
 	s.readBegan = now
 	return []Output{Read{}}
--- a/internal/member/sparsync/reader_test.go
+++ b/internal/member/sparsync/reader_test.go
@@ -1,6 +1,7 @@
 package sparsync_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,6 +41,40 @@
 
 // TestFullReadAfterAnOutage checks that a reader does not read incrementally while entries
 // that have expired during an outage may come back.
+// TestLargeDocumentOnSlowLinks guards against reads and pulls that never end: a document of the
+// largest size changes, once in a while and in quick succession, on the slowest links of the
+// sites that have so many VMs.
+func TestLargeDocumentOnSlowLinks(t *testing.T) {
+	const document = 1_400_000 // bytes as read from the platform
+	for _, site := range []struct {
+		n     int
+		rate  int // bytes a second
+		bound time.Duration
+	}{
+		{3, 10_000_000 / 8, 5 * time.Second},
+		{80, 10_000_000 / 8, 5 * time.Second},
+		{295, 20_000_000 / 8, 6 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d VMs", site.n), func(t *testing.T) {
+			s := newBoundSim(t, site.n, site.bound)
+			s.slowLinks, s.linkRate, s.size, s.changeSize = true, site.rate, document+50_000, document
+			s.run(2 * site.bound)
+			for range 4 {
+				s.change()
+				s.run(2 * site.bound)
+			}
+			for range 12 {
+				s.change()
+				s.run(330 * time.Millisecond)
+			}
+			s.run(2 * site.bound)
+			if s.busiest > 2 {
+				t.Errorf("a VM hands the document to %d at once, want at most 2", s.busiest)
+			}
+		})
+	}
+}
+
 func TestFullReadAfterAnOutage(t *testing.T) {
 	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, 3*time.Second, beat)
 	s.Tick(1)
--- a/internal/member/sparsync/serve.go
+++ b/internal/member/sparsync/serve.go
@@ -8,40 +8,43 @@
 )
 
 const (
-	// maxFullPulls is the number of full copies served at a time. On slow links settings
-	// spread fastest if few pulls share a link, since a peer that has been served can serve
-	// others.
-	maxFullPulls = 2
-	// maxDeltaPulls is the same for changes, which are small.
-	maxDeltaPulls = 2 * fanOut
+	// maxLargePulls is the number of full copies and large changes served at a time. On slow
+	// links settings spread fastest if few pulls share a link, since a peer that has been served
+	// can serve others.
+	maxLargePulls = 2
+	// maxSmallPulls is the same for small changes.
+	maxSmallPulls = 2 * fanOut
+	// LargePull is the number of bytes, before compression, from which changes are large: the
+	// slowest link carries a few such pulls in a fraction of a second.
+	LargePull = 64_000
 	// maxHolders is the number of peers on record that hold the settings of this VM.
 	maxHolders = 16
 )
 
 // serving tracks the pulls that this VM serves.
 type serving struct {
-	full    int
-	deltas  int
+	large   int
+	small   int
 	digest  uint64          // of the settings that the holders have
 	holders []sparconfig.VM // peers served last, the latest at the end
 	next    int             // rotates the holders that peers are referred to
 }
 
-// Serve reports whether to serve the pull of a peer: a full copy, or the changes after a
-// position. If ok, the caller must call Served afterwards. Otherwise referral is a
-// peer that holds the same settings, or the zero VM if none is on record.
-func (s *Sync) Serve(to sparconfig.VM, full bool) (referral sparconfig.VM, ok bool) {
-	if s.atLimit(full) {
+// Serve reports whether to serve the pull of a peer: a large one, which is a full copy or has
+// LargePull bytes of changes, or a small one. If ok, the caller must call Served afterwards.
+// Otherwise referral is a peer that holds the same settings, or the zero VM if none is on record.
+func (s *Sync) Serve(to sparconfig.VM, large bool) (referral sparconfig.VM, ok bool) {
+	if s.atLimit(large) {
 		return s.holder(to), false
 	}
-	*s.active(full)++
+	*s.active(large)++
 	return sparconfig.VM{}, true
 }
 
 // Served ends a pull that Serve admitted. digest is that of the settings sent; complete
 // reports whether the peer received all of them.
-func (s *Sync) Served(to sparconfig.VM, full bool, digest uint64, complete bool) {
-	*s.active(full)--
+func (s *Sync) Served(to sparconfig.VM, large bool, digest uint64, complete bool) {
+	*s.active(large)--
 	if !complete || to.Name == "" || digest != s.held.Digest {
 		return
 	}
@@ -56,19 +59,19 @@
 }
 
 // active returns the counter of the pulls of the same kind that are being served.
-func (s *Sync) active(full bool) *int {
-	if full {
-		return &s.serving.full
+func (s *Sync) active(large bool) *int {
+	if large {
+		return &s.serving.large
 	}
-	return &s.serving.deltas
+	return &s.serving.small
 }
 
 // atLimit reports whether no more pulls of the same kind may be served now.
-func (s *Sync) atLimit(full bool) bool {
-	if full {
-		return s.serving.full >= maxFullPulls
+func (s *Sync) atLimit(large bool) bool {
+	if large {
+		return s.serving.large >= maxLargePulls
 	}
-	return s.serving.deltas >= maxDeltaPulls
+	return s.serving.small >= maxSmallPulls
 }
 
 // holder returns a peer that holds the settings of this VM, in rotation, preferably one in
--- a/internal/member/sparsync/sim_test.go
+++ b/internal/member/sparsync/sim_test.go
@@ -22,7 +22,7 @@
 	callTime     = 8 * time.Millisecond
 	eraStep      = 1_000_000               // numbers of an era
 	keepTime     = 2500 * time.Millisecond // for which a VM keeps entries of an earlier era
-	callTimeout  = 900 * time.Millisecond  // of a platform that does not respond
+	callTimeout  = 900 * time.Millisecond  // of a platform or a peer that does not respond
 	tickInterval = 50 * time.Millisecond
 
 	smallSettings = 4_000     // bytes; each read is a full read
@@ -31,10 +31,9 @@
 	datagram      = 150       // bytes of a notification with its headers
 	compression   = 3         // ratio of the settings to their encoding in a pull
 
-	linkRate     = 20_000_000 / 8    // bytes a second, of a VM's link
-	platformRate = 1_000_000_000 / 8 // bytes a second, of the platform's link
-	pullTimeout  = 1500 * time.Millisecond
-	pageSize     = 1_000_000 // bytes of the response of a call
+	linkRate     = 20_000_000 / 8         // bytes a second, of a VM's link
+	platformRate = 1_000_000_000 / 8      // bytes a second, of the platform's link
+	progressTime = 100 * time.Millisecond // between two reports that a pull makes progress
 )
 
 type (
@@ -54,6 +53,8 @@
 		loss         float64        // share of datagrams lost
 		bound        time.Duration
 		size         int            // bytes of a full read
+		changeSize   int            // bytes of a change
+		linkRate     int            // bytes a second, of a VM's link
 		read         int            // bytes of all reads
 		deregistered map[string]int // by VM, number of requests to remove its entry
 		withholding  bool           // the platform omits the latest changes from incremental reads
@@ -99,7 +100,7 @@
 func newSim(t *testing.T, n int) *sim { return newBoundSim(t, n, bound) }
 
 func newBoundSim(t *testing.T, n int, bound time.Duration) *sim {
-	s := &sim{t: t, bound: bound, rng: rand.New(rand.NewPCG(1, uint64(n))), revision: 10, size: smallSettings, sent: map[string]int{}, deregistered: map[string]int{}}
+	s := &sim{t: t, bound: bound, rng: rand.New(rand.NewPCG(1, uint64(n))), revision: 10, size: smallSettings, changeSize: changeSize, linkRate: linkRate, sent: map[string]int{}, deregistered: map[string]int{}}
 	for i := range n {
 		vm := sparconfig.VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%3), Control: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1)}
 		s.vms = append(s.vms, &member{sim: s, vm: vm})
@@ -214,7 +215,7 @@
 	for _, out := range outs {
 		switch out := out.(type) {
 		case sparsync.Read:
-			m.read(out.After)
+			m.read(out)
 		case sparsync.ListVMs:
 			m.readVMs()
 		case sparsync.Pull:
@@ -255,52 +256,60 @@
 	s.schedule(m, callTime, func() { m.perform(m.sync.VMsListed(s.vmList(), s.now)) })
 }
 
-// read reads the platform: fully if after is zero, otherwise the changes after that position.
-func (m *member) read(after sparregistry.Position) {
+// read reads the platform: fully, or the changes after a position.
+func (m *member) read(read sparsync.Read) {
 	s := m.sim
 	s.calls++
-	began := s.now
+	began, after := s.now, read.After
 	switch {
 	case m.silent:
 		s.schedule(m, callTimeout, func() { m.perform(m.sync.ReadFailed(s.now)) })
 	case m.refused:
 		s.schedule(m, callTime, func() { m.perform(m.sync.ReadFailed(s.now)) })
 	default:
-		took, ok := s.readTime(after)
-		if !ok {
-			s.schedule(m, callTimeout, func() { m.perform(m.sync.ReadFailed(s.now)) })
-			return
+		size, revision := s.size, s.revision
+		if !after.IsZero() {
+			size = s.sizeAfter(after)
+		}
+		tooLarge := !after.IsZero() && size > read.Limit
+		if tooLarge {
+			size = read.Limit // more is not read
 		}
-		s.schedule(m, took, func() {
+		s.schedule(m, s.readTime(size), func() {
 			s.read += changeSize
-			if !after.IsZero() && after.Compare(at(s.revision)) < 0 {
+			if !after.IsZero() && after.Compare(at(revision)) < 0 {
 				s.calls++
 			}
-			if !after.IsZero() && (after.Era != at(s.revision).Era || after.Compare(at(s.revision)) < 0 && s.withholding) {
+			if !after.IsZero() && (after.Era != at(revision).Era || after.Compare(at(revision)) < 0 && s.withholding || tooLarge) {
 				m.perform(m.sync.ReadIncomplete(s.now))
 				return
 			}
-			size := 0
-			if after.IsZero() {
-				size = s.size
-				s.read += size
+			s.read += size
+			if !after.IsZero() {
+				size = 0
 			}
-			m.adopt(s.revision)
+			m.adopt(revision)
 			m.perform(m.sync.ReadDone(began, m.heldSettings(), size, s.now))
 		})
 	}
 }
 
-// readTime returns how long a read takes. It reports false if one of its calls would take
-// longer than callTimeout.
-func (s *sim) readTime(after sparregistry.Position) (took time.Duration, ok bool) {
-	if !s.slowLinks || !after.IsZero() {
-		return callTime, true
+// sizeAfter returns the bytes of the changes after a position.
+func (s *sim) sizeAfter(after sparregistry.Position) int {
+	reached := at(s.revision)
+	if after.Era != reached.Era || reached.Revision < after.Revision {
+		return changeSize
 	}
-	s.linkFree = max(s.linkFree, s.now) + transferTime(platformRate, s.size)
-	took = max(s.linkFree-s.now, transferTime(linkRate, s.size)) + callTime
-	pages := (s.size + pageSize - 1) / pageSize
-	return took, took/time.Duration(pages) < callTimeout
+	return changeSize + int(reached.Revision-after.Revision)*s.changeSize
+}
+
+// readTime returns how long a read takes.
+func (s *sim) readTime(size int) time.Duration {
+	if !s.slowLinks {
+		return callTime
+	}
+	s.linkFree = max(s.linkFree, s.now) + transferTime(platformRate, size)
+	return max(s.linkFree-s.now, transferTime(s.linkRate, size)) + callTime
 }
 
 // transferTime returns how long it takes to transfer bytes over a link.
@@ -323,7 +332,7 @@
 		if !from.sync.Synced() {
 			return
 		}
-		referral, ok := from.sync.Serve(m.vm, pull.After.IsZero())
+		referral, ok := from.sync.Serve(m.vm, from.large(pull))
 		if !ok {
 			s.schedule(m, oneWay, func() { m.perform(m.sync.PullRefused(from.vm, referral, s.now)) })
 			return
@@ -332,33 +341,46 @@
 	})
 }
 
+// large reports whether m replies to a pull with a full copy or large changes.
+func (m *member) large(pull sparsync.Pull) bool {
+	return pull.After.IsZero() || m.changesAfter(pull.After) >= sparsync.LargePull
+}
+
+// changesAfter returns the bytes of the changes that m holds after a position. A document that
+// has changed more than once is among them once.
+func (m *member) changesAfter(after sparregistry.Position) int {
+	if m.heldSettings().At.Compare(after) <= 0 {
+		return changeSize
+	}
+	return min(int(m.held%eraStep-after.Revision)*m.sim.changeSize, m.sim.size)
+}
+
 // serve sends the settings of m to a peer.
 func (m *member) serve(to *member, pull sparsync.Pull, began time.Duration) {
 	s := m.sim
-	if pull.After.IsZero() {
+	large := m.large(pull)
+	if large {
 		m.serving++
 		s.busiest = max(s.busiest, m.serving)
 	}
 	took := time.Duration(0)
 	if s.slowLinks {
-		size := changeSize
+		size := m.changesAfter(pull.After)
 		if pull.After.IsZero() {
-			size = s.size / compression
+			size = s.size
 		}
-		m.linkFree = max(m.linkFree, s.now) + transferTime(linkRate, size)
+		m.linkFree = max(m.linkFree, s.now) + transferTime(s.linkRate, size/compression)
 		took = m.linkFree - s.now
 	}
 	held, age, reader := m.held, m.sync.Age(s.now), m.sync.Reader()
-	timedOut := s.now+took-began > pullTimeout
-	s.schedule(m, min(took, pullTimeout), func() {
-		if pull.After.IsZero() {
+	s.schedule(m, took, func() {
+		if large {
 			m.serving--
 		}
-		m.sync.Served(to.vm, pull.After.IsZero(), held, !timedOut)
+		m.sync.Served(to.vm, large, held, true)
 	})
-	if timedOut {
-		s.schedule(to, pullTimeout, func() { to.perform(to.sync.PullFailed(s.now)) })
-		return
+	for passed := progressTime; passed < took; passed += progressTime {
+		s.schedule(to, passed, func() { to.sync.PullProgressed(s.now) })
 	}
 	s.schedule(to, took+oneWay, func() {
 		to.adopt(held)
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -96,6 +96,7 @@
 		deferred     Notification  // notification to follow once no pull is under way; its age as in current
 		nextPull     time.Duration // earliest time of the next pull
 		pulling      bool
+		pullTimeout  time.Duration // of the pull under way, without progress
 		pullDeadline time.Duration // of the pull under way
 		start        start
 		serving      serving
--- a/internal/peer/sparcontrol/survey.go
+++ b/internal/peer/sparcontrol/survey.go
@@ -16,7 +16,7 @@
 const SurveyTimeout = 600 * time.Millisecond
 
 // Dial returns a client for the VM at a control address. It doesn't connect yet.
-func Dial(control string, client *http.Client) Control {
+func Dial(control string, client HTTPClient) Control {
 	return NewControlProtobufClient("http://"+control, client)
 }
 
--- a/internal/platform/sparkv/kv.go
+++ b/internal/platform/sparkv/kv.go
@@ -16,7 +16,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -28,6 +27,7 @@
 	"github.com/juju/errors"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/wire/spartransfer"
 )
 
 const (
@@ -35,10 +35,10 @@
 	Root = "oleanderspar/"
 	// WatchWait is how long a watch waits for a change.
 	WatchWait = 5 * time.Second
-	// CallTimeout limits a call other than a watch.
+	// CallTimeout is how long a call may make no progress. A watch waits WatchWait longer for
+	// its response to begin.
 	CallTimeout = 2 * time.Second
 
-	watchSlack  = 2 * time.Second // added to WatchWait for the timeout of a watch
 	dialTimeout = time.Second
 	maxBody     = 64 << 20 // bytes of a response body
 	indexHeader = "X-Consul-Index"
@@ -111,13 +111,13 @@
 func (c *Client) List(ctx context.Context, prefix string, after uint64) (l Listing, err error) {
 	defer annotate(&err, "list "+prefix)
 	query := url.Values{"recurse": {"true"}}
-	timeout := CallTimeout
+	wait := time.Duration(0)
 	if after > 0 {
 		query.Set("index", strconv.FormatUint(after, 10))
 		query.Set("wait", strconv.Itoa(int(WatchWait/time.Second))+"s")
-		timeout = WatchWait + watchSlack
+		wait = WatchWait
 	}
-	status, header, body, err := c.call(ctx, timeout, http.MethodGet, prefix, query, nil)
+	status, header, body, err := c.call(ctx, wait, http.MethodGet, prefix, query, nil)
 	if err != nil {
 		return Listing{}, err
 	}
@@ -134,7 +134,7 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (e sparregistry.Entry, ok bool, err error) {
 	defer annotate(&err, "get "+key)
-	status, _, body, err := c.call(ctx, CallTimeout, http.MethodGet, key, url.Values{}, nil)
+	status, _, body, err := c.call(ctx, 0, http.MethodGet, key, url.Values{}, nil)
 	if err != nil || status == http.StatusNotFound {
 		return sparregistry.Entry{}, false, err
 	}
@@ -159,19 +159,18 @@
 
 func (c *Client) change(ctx context.Context, method, key string, value []byte, revision uint64) (ok bool, err error) {
 	query := url.Values{"cas": {strconv.FormatUint(revision, 10)}}
-	_, _, body, err := c.call(ctx, CallTimeout, method, key, query, value)
+	_, _, body, err := c.call(ctx, 0, method, key, query, value)
 	if err != nil {
 		return false, err
 	}
 	return strings.TrimSpace(string(body)) == "true", nil
 }
 
-func (c *Client) call(ctx context.Context, timeout time.Duration, method, key string, query url.Values, value []byte) (
+// call makes a call. wait is how long the service may wait before it responds.
+func (c *Client) call(ctx context.Context, wait time.Duration, method, key string, query url.Values, value []byte) (
 	status int, header http.Header, body []byte, err error,
 ) {
 	c.calls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	target := c.base + "/v1/kv/" + Root + key
 	if len(query) > 0 {
 		target += "?" + query.Encode()
@@ -180,13 +179,13 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	response, err := c.http.Do(request)
+	caller := spartransfer.Caller{Client: c.http, Stall: CallTimeout, Wait: wait}
+	response, err := caller.Do(request)
 	if err != nil {
 		return 0, nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBody))
-	if err != nil {
+	if body, err = spartransfer.ReadBody(response, maxBody); err != nil {
 		return 0, nil, nil, err
 	}
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusNotFound {
--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -120,6 +120,16 @@
 	return d
 }
 
+// DeltaSize returns the number of bytes in the keys and values of the delta after a position.
+func (r Registry) DeltaSize(after Position) (size int) {
+	for key, e := range r.entries {
+		if e.Position().Compare(after) > 0 {
+			size += len(key) + len(e.Value)
+		}
+	}
+	return size
+}
+
 // baseDigest returns the digest of the live entries that have not changed after a position.
 func (r Registry) baseDigest(after Position) uint64 {
 	sum := uint64(0)
--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -13,19 +13,19 @@
 	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/wire/spartransfer"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
 const (
-	// changesTimeout bounds a pull of changes. It covers a few round trips and the transfer
-	// of a large change over a slow link.
-	changesTimeout = 700 * time.Millisecond
-	// fullTimeout bounds a pull of all settings. It covers those of a large fleet while the
-	// peer serves a second pull.
-	fullTimeout = 1500 * time.Millisecond
-	dialTimeout = 500 * time.Millisecond
-	// requestTimeout bounds reading a request and writing its response. Without it, a peer
-	// behind a network partition would keep the response in memory.
+	// pullTimeout is how long a pull may make no progress. It covers a few round trips and the
+	// encoding of the settings of a large fleet.
+	pullTimeout = 700 * time.Millisecond
+	// progressInterval is the least time between two reports that a pull makes progress.
+	progressInterval = 100 * time.Millisecond
+	dialTimeout      = 500 * time.Millisecond
+	// requestTimeout bounds reading a request, and the time without progress while its response
+	// is written. Without it, a peer behind a network partition would keep the response in memory.
 	requestTimeout = 5 * time.Second
 	// drainTimeout is how long accepted requests may still run once the VM has left. It covers
 	// a survey, the longest request.
@@ -94,7 +94,8 @@
 // requests, waits up to drainTimeout for those accepted to finish, and closes drained.
 func serve(ctx context.Context, listener net.Listener, mux http.Handler, left <-chan struct{}, drained chan<- struct{}) error {
 	server := &http.Server{
-		Handler: http.MaxBytesHandler(mux, maxRequest), ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+		Handler:     spartransfer.Handler(http.MaxBytesHandler(mux, maxRequest), requestTimeout),
+		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
 	}
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -134,13 +135,8 @@
 
 // fetch pulls settings from a peer and decodes them.
 func (vm *VM) fetch(ctx context.Context, client *http.Client, p pull) pulled {
-	timeout := changesTimeout
-	if p.req.After.IsZero() {
-		timeout = fullTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	peer := sparcontrol.Dial(p.req.From.Control, client)
+	caller := spartransfer.Caller{Client: client, Stall: pullTimeout, Progress: vm.reportProgress(ctx)}
+	peer := sparcontrol.Dial(p.req.From.Control, caller)
 	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: p.req.After.Revision, Era: p.req.After.Era, From: sparcontrol.FromVM(vm.file.VM())})
 	if err != nil || reply.Busy || !reply.Synced {
 		return pulled{pull: p, reply: reply, err: err}
@@ -152,3 +148,15 @@
 	delta, err := sparcontrol.DecodeDelta(reply.Share)
 	return pulled{pull: p, reply: reply, age: age, delta: delta, err: err}
 }
+
+// reportProgress returns a function that tells the event loop about once each progressInterval
+// that the pull under way makes progress.
+func (vm *VM) reportProgress(ctx context.Context) func() {
+	reported := time.Now()
+	return func() {
+		if now := time.Now(); now.Sub(reported) >= progressInterval {
+			reported = now
+			vm.post(ctx, pullProgress{})
+		}
+	}
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -79,8 +79,9 @@
 		VMs(ctx context.Context) ([]sparconfig.VM, error)
 		// Position reads the position of the platform, linearizably.
 		Position(ctx context.Context) (sparregistry.Position, error)
-		// Changes reads the changes after a revision. Some may be missing.
-		Changes(ctx context.Context, after uint64) (platform.Changes, error)
+		// Changes reads the changes after a revision, unless they have more than limit bytes.
+		// Some may be missing.
+		Changes(ctx context.Context, after uint64, limit int) (platform.Changes, error)
 		// Put writes all entries if each is still at its revision, where 0 means absent, and
 		// otherwise none. It returns their new position.
 		Put(ctx context.Context, entries ...sparregistry.Entry) (sparregistry.Position, error)
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -204,7 +204,7 @@
 
 func (vm *VM) logIncompleteChanges(after sparregistry.Position, c incrementalRead) {
 	vm.log.WithFields(logrus.Fields{
-		"after": after.Revision, "reached": c.reached.Revision, "era": c.reached.Era, "changes": len(c.Revisions), "age_ms": vm.age.Milliseconds(),
+		"after": after.Revision, "reached": c.reached.Revision, "era": c.reached.Era, "changes": len(c.Revisions), "too_large": c.tooLarge, "age_ms": vm.age.Milliseconds(),
 	}).Warn("changes incomplete, everything is read")
 }
 
--- a/internal/vm/sparentry/pull.go
+++ b/internal/vm/sparentry/pull.go
@@ -6,6 +6,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
@@ -26,7 +27,7 @@
 		failed   bool
 		to       sparconfig.VM
 		after    sparregistry.Position
-		full     bool // a full copy is sent
+		large    bool // a full copy or large changes are sent
 		digest   uint64
 	}
 
@@ -36,7 +37,7 @@
 	// served is a released permit.
 	served struct {
 		to     sparconfig.VM
-		full   bool // a full copy was sent
+		large  bool // a full copy or large changes were sent
 		digest uint64
 		whole  bool // the response was written in full
 	}
@@ -65,16 +66,17 @@
 
 func (served) input() {}
 
-// admit admits the peer of the permit unless this VM is overloaded. full reports whether it is
-// sent a full copy. Otherwise referral is another peer with the same settings, if one is known.
-func (p *permit) admit(vm *VM, full bool) (referral sparconfig.VM, ok bool) {
+// admit admits the peer of the permit unless this VM is overloaded. large reports whether it is
+// sent a full copy or large changes. Otherwise referral is another peer with the same settings,
+// if one is known.
+func (p *permit) admit(vm *VM, large bool) (referral sparconfig.VM, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return sparconfig.VM{}, false
 	}
-	p.full = full
-	referral, p.admitted = vm.sync.Serve(p.to, p.full)
+	p.large = large
+	referral, p.admitted = vm.sync.Serve(p.to, p.large)
 	p.digest = vm.registry.Digest()
 	return referral, p.admitted
 }
@@ -91,7 +93,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	return served{to: p.to, full: p.full, digest: p.digest, whole: !p.failed}, p.admitted
+	return served{to: p.to, large: p.large, digest: p.digest, whole: !p.failed}, p.admitted
 }
 
 // hooks attaches a permit to each request and releases it when the request has ended.
@@ -137,7 +139,7 @@
 	if !d.reply.Synced {
 		return d
 	}
-	referral, ok := p.admit(vm, full)
+	referral, ok := p.admit(vm, full || vm.registry.DeltaSize(d.key.after) >= sparsync.LargePull)
 	if !ok {
 		vm.metrics.busy.Add(1)
 		d.reply.Busy = true
--- a/internal/vm/sparentry/pull_test.go
+++ b/internal/vm/sparentry/pull_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,9 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
 // TestPullsReleaseTheirPermits pulls settings from a VM many times at once and cancels half
@@ -100,3 +104,22 @@
 	eventually(t, "ready", v.ready)
 	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
 }
+
+// TestFullCopyOnASlowLink guards against starts that never end: a VM whose platform is away pulls
+// settings that take two seconds on the link of its peer.
+func TestFullCopyOnASlowLink(t *testing.T) {
+	const size, rate = 256_000, 128_000 // bytes, and bytes a second
+	s := newSite(t)
+	s.fake.SetFault(sparfake.Refuses)
+	noise := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(noise) // never fails; it can't be compressed
+	held := sparregistry.Registry{}.WithFullRead([]sparregistry.Entry{
+		{Key: sparroster.UpstreamPrefix + "i-1", Value: noise, Era: 1, Revision: 5},
+	}, sparregistry.Position{Era: 1, Revision: 5})
+	p := startPeer(t, held, rate)
+	v := s.start("vm-1", p.vm.Control)
+	eventually(t, "ready", v.ready)
+	if n := p.pulls.Load(); n != 1 {
+		t.Errorf("%d pulls, want that the first one ends", n)
+	}
+}
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -21,10 +21,12 @@
 
 type (
 	// readRequest requests a read of the platform: of the registered VMs if vms is set,
-	// otherwise of what changed after a position. The zero Position requests a full read.
+	// otherwise of what changed after a position, unless that has more than limit bytes. The
+	// zero Position requests a full read.
 	readRequest struct {
 		began time.Duration
 		after sparregistry.Position
+		limit int
 		vms   bool
 	}
 
@@ -49,7 +51,8 @@
 	// incrementalRead is the changes after a position.
 	incrementalRead struct {
 		platform.Changes
-		reached sparregistry.Position // of the platform just before the changes were read
+		reached  sparregistry.Position // of the platform just before the changes were read
+		tooLarge bool                  // the changes have more bytes than a full read
 	}
 
 	// listedVMs are the VMs registered in the platform.
@@ -91,14 +94,15 @@
 	if err != nil || reached.Era != after.Era || reached.Revision <= after.Revision {
 		return incrementalRead{reached: reached}, err
 	}
-	c, err := vm.store.Changes(ctx, after.Revision)
-	if errors.Is(err, platform.ErrCompacted) {
+	c, err := vm.store.Changes(ctx, after.Revision, r.limit)
+	tooLarge := errors.Is(err, platform.ErrTooLarge)
+	if errors.Is(err, platform.ErrCompacted) || tooLarge {
 		err = nil // readDone sees from the missing changes that the read is incomplete
 	}
 	if c.Era != reached.Era {
 		c = platform.Changes{} // restored in between: incomplete as well
 	}
-	return incrementalRead{Changes: c, reached: reached}, err
+	return incrementalRead{Changes: c, reached: reached, tooLarge: tooLarge}, err
 }
 
 // readDone handles the outcome of a read.
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -31,6 +31,9 @@
 		err   error
 	}
 
+	// pullProgress reports that the pull under way makes progress.
+	pullProgress struct{}
+
 	// probed reports that a probe was answered as not ready.
 	probed struct{}
 
@@ -48,9 +51,10 @@
 	}
 )
 
-func (received) input() {}
-func (pulled) input()   {}
-func (probed) input()   {}
+func (received) input()     {}
+func (pulled) input()       {}
+func (pullProgress) input() {}
+func (probed) input()       {}
 
 // dispatch handles an input from another goroutine.
 func (vm *VM) dispatch(in input) {
@@ -64,10 +68,12 @@
 		vm.readDone(in, now)
 	case pulled:
 		vm.pullDone(in, now)
+	case pullProgress:
+		vm.sync.PullProgressed(now)
 	case probed:
 		vm.leave.ProbeRefused(now)
 	case served:
-		vm.sync.Served(in.to, in.full, in.digest, in.whole)
+		vm.sync.Served(in.to, in.large, in.digest, in.whole)
 	case wrote:
 		vm.writeDone(in)
 	}
@@ -155,7 +161,7 @@
 	for _, out := range outs {
 		switch out := out.(type) {
 		case sparsync.Read:
-			vm.reads.Put(readRequest{began: now, after: out.After})
+			vm.reads.Put(readRequest{began: now, after: out.After, limit: out.Limit})
 		case sparsync.ListVMs:
 			vm.reads.Put(readRequest{began: now, vms: true})
 		case sparsync.Pull:
--- a/internal/vm/sparserver/calls.go
+++ b/internal/vm/sparserver/calls.go
@@ -13,12 +13,14 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparnode"
+	"github.com/oleanderspar/oleanderspar/internal/wire/spartransfer"
 )
 
 const (
-	retryMin    = 250 * time.Millisecond
-	retryMax    = 2 * time.Second
-	idleCheck   = 200 * time.Millisecond
+	retryMin  = 250 * time.Millisecond
+	retryMax  = 2 * time.Second
+	idleCheck = 200 * time.Millisecond
+	// pullTimeout is how long a pull may make no progress.
 	pullTimeout = 1500 * time.Millisecond
 )
 
@@ -108,9 +110,8 @@
 			err = errors.Annotatef(err, "pull from %s", pull.From.Control)
 		}
 	}()
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	peer := sparcontrol.Dial(pull.From.Control, s.metrics.countBytes(http.DefaultTransport))
+	caller := spartransfer.Caller{Client: s.metrics.countBytes(http.DefaultTransport), Stall: pullTimeout}
+	peer := sparcontrol.Dial(pull.From.Control, caller)
 	reply, err := peer.Pull(ctx, &sparcontrol.PullRequest{After: pull.After.Revision, Era: pull.After.Era})
 	if err != nil {
 		return sparregistry.Delta{}, err
