sparconfig: figures of the settings may have a fraction

SIGHUP is refused, and after the next planned restart no VM starts.

Cause: force, grace and beat were whole numbers, and one that is not is an error of the whole file.

Change: a Figure is any JSON number; true, false and null set none, the default applies. Ranges are wider (force 100 to 600,000 ms, grace above 0 to 3,600 s, beat to 600,000 ms), since a bound of an unseen site must not keep a VM from starting.

The cases of TestBadFiles stay.

--- a/internal/settings/sparconfig/carrier_test.go
+++ b/internal/settings/sparconfig/carrier_test.go
@@ -1,8 +1,10 @@
 package sparconfig_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
@@ -36,6 +38,9 @@
 		"force above maximum":   {with(cookieFile, `"force": 3600000`), "force"},
 		"grace below minimum":   {with(cookieFile, `"grace": -1`), "grace"},
 		"beat below minimum":    {with(cookieFile, `"beat": 10`), "beat"},
+		"figure in quotes":      {with(cookieFile, `"grace": "6"`), "expected a number"},
+		"figure too large":      {with(cookieFile, `"beat": 1e300`), "beat"},
+		"figure beyond numbers": {with(cookieFile, `"beat": 1e999`), "1e999"},
 		"beat with geneve":      {with(geneveFile, `"beat": 1200`), "beat"},
 		"unknown field":         {with(cookieFile, `"colour": "red"`), "colour"},
 		"seed with a host name": {strings.Replace(cookieFile, "127.0.0.1:5", "seed:5", 1), "seeds[0]"},
@@ -53,6 +58,35 @@
 	}
 }
 
+// TestFigures guards against VMs that do not start since a figure of their settings is not written
+// as a whole number.
+func TestFigures(t *testing.T) {
+	const fallback = -1
+	units := map[string]time.Duration{"force": time.Millisecond, "grace": time.Second, "beat": time.Millisecond}
+	defaults := map[string]float64{"force": sparconfig.DefaultForce, "grace": sparconfig.DefaultGrace, "beat": sparconfig.DefaultBeat}
+	for text, want := range map[string]float64{
+		"600": 600, "600.5": 600.5, "600.0": 600, "6e2": 600, "0.6005e3": 600.5, "true": fallback, "false": fallback, "null": fallback, "0": fallback,
+	} {
+		for field, unit := range units {
+			t.Run(field+" "+text, func(t *testing.T) {
+				f, err := sparconfig.ParseFile([]byte(strings.Replace(cookieFile, "{", fmt.Sprintf("{%q: %s, ", field, text), 1)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				carrier := f.CarrierSettings().(sparconfig.CookieCarrier)
+				got := map[string]time.Duration{"force": carrier.Force, "grace": carrier.Grace, "beat": carrier.Beat}[field]
+				wanted := want
+				if want == fallback {
+					wanted = defaults[field]
+				}
+				if got != time.Duration(wanted*float64(unit)) {
+					t.Errorf("%v, want %v x %v", got, wanted, unit)
+				}
+			})
+		}
+	}
+}
+
 func TestBadVMs(t *testing.T) {
 	for name, text := range map[string]string{
 		"no control address": `{"domain": "north", "data": "10.0.0.1:1"}`,
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -36,9 +36,9 @@
 		Log      string   `json:"log,omitempty"`     // text or json
 		Flows    int      `json:"flows,omitempty"`   // limit of cached flows
 		Ready    string   `json:"ready,omitempty"`   // HTTP address of the fabric's readiness probe; cookie
-		Force    int64    `json:"force,omitempty"`   // milliseconds within which settings must be in force everywhere; cookie
-		Grace    int64    `json:"grace,omitempty"`   // seconds from SIGTERM to SIGKILL; cookie
-		Beat     int64    `json:"beat,omitempty"`    // milliseconds between two heartbeats of an upstream to the platform; cookie
+		Force    Figure   `json:"force,omitempty"`   // milliseconds within which settings must be in force everywhere; cookie
+		Grace    Figure   `json:"grace,omitempty"`   // seconds from SIGTERM to SIGKILL; cookie
+		Beat     Figure   `json:"beat,omitempty"`    // milliseconds between two heartbeats of an upstream to the platform; cookie
 	}
 
 	// Carrier is how the fabric delivers packets, which determines how a VM finds the
@@ -89,11 +89,12 @@
 	DefaultBeat = 1200
 
 	secretDigits = 32
-	minForce     = 500
-	maxForce     = 60_000
-	maxGrace     = 600
-	minBeat      = 100
-	maxBeat      = 60_000
+	minForce     = 100     // milliseconds; a few ticks of a VM
+	maxForce     = 600_000 // milliseconds
+	minGrace     = 0.001   // seconds
+	maxGrace     = 3600    // seconds
+	minBeat      = 100     // milliseconds
+	maxBeat      = 600_000 // milliseconds
 )
 
 func (GeneveCarrier) carrier() {}
@@ -103,8 +104,8 @@
 func (f File) CarrierSettings() Carrier {
 	if f.Carrier == Cookie {
 		return CookieCarrier{
-			Ready: f.Ready, Force: time.Duration(f.Force) * time.Millisecond, Grace: time.Duration(f.Grace) * time.Second,
-			Beat: time.Duration(f.Beat) * time.Millisecond,
+			Ready: f.Ready, Force: f.Force.duration(time.Millisecond), Grace: f.Grace.duration(time.Second),
+			Beat: f.Beat.duration(time.Millisecond),
 		}
 	}
 	return GeneveCarrier{Fabric: f.Fabric}
@@ -233,16 +234,13 @@
 	if err := checkAddress(f.Ready); err != nil {
 		return errors.Annotate(err, "ready")
 	}
-	if f.Force < minForce || f.Force > maxForce {
-		return errors.Errorf("force: %d, expected %d to %d milliseconds", f.Force, minForce, maxForce)
-	}
-	if f.Grace < 1 || f.Grace > maxGrace {
-		return errors.Errorf("grace: %d, expected 1 to %d seconds", f.Grace, maxGrace)
+	if err := f.Force.check("force", minForce, maxForce, "milliseconds"); err != nil {
+		return err
 	}
-	if f.Beat < minBeat || f.Beat > maxBeat {
-		return errors.Errorf("beat: %d, expected %d to %d milliseconds", f.Beat, minBeat, maxBeat)
+	if err := f.Grace.check("grace", minGrace, maxGrace, "seconds"); err != nil {
+		return err
 	}
-	return nil
+	return f.Beat.check("beat", minBeat, maxBeat, "milliseconds")
 }
 
 func checkAddress(s string) error {
