platform, sparroster, sparcookie: entries of another writer name no server and end nothing

And the report of other operators can happen here: an entry under the keys of VMs nested a million deep ends each process that reads it with a stack overflow, which no recover stops, again after each start.

Cause: fields were checked as far as they are used, not as a whole entry; an upstream with an unusable entry was the same to the router as one that is gone; the parser of JSON with comments recurses without a limit.

An upstream whose entry can't be used takes no new flows and keeps those it has. Texts nested more than 64 deep are refused before they are parsed, those of service documents and settings files too. Causes of problems are cut to 300 bytes.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -77,6 +77,7 @@
 		sparroster.Upstream
 		cookie          Cookie
 		removed         bool // no longer in the roster
+		unusable        bool // in the roster with an entry that can't be used
 		removedAt       time.Duration
 		warmUntil       time.Duration // end of the warm-up
 		flows           int           // open flows on record
@@ -146,16 +147,19 @@
 		if u == nil || u.Born != entry.Born || u.Service != entry.Service {
 			u = e.addUpstream(u, entry)
 		}
-		if u.Draining != entry.Draining || u.removed {
+		if u.Draining != entry.Draining || u.removed || u.unusable {
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
-		u.Upstream, u.removed = entry, false
+		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
 		if entry.Warm == 0 {
 			u.warmUntil = 0
 		}
 		e.addToPool(u)
 	}
+	for _, entry := range r.Unusable {
+		inRoster[entry.ID] = inRoster[entry.ID] || e.keepUnusable(entry.ID)
+	}
 	for id, u := range e.upstreams {
 		if !inRoster[id] && !u.removed {
 			u.removed, u.removedAt = true, e.now
@@ -164,6 +168,20 @@
 	}
 }
 
+// keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
+// flows stay. It reports whether there is such an upstream.
+func (e *Engine) keepUnusable(id uint64) bool {
+	u := e.upstreams[id]
+	if u == nil || u.removed {
+		return false
+	}
+	if !u.unusable {
+		u.unusable = true
+		e.emit(UpstreamUnusable{Upstream: u.Upstream})
+	}
+	return true
+}
+
 // addToPool adds u to the pool of its service.
 func (e *Engine) addToPool(u *upstream) {
 	p := e.pools[u.Service]
--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -32,6 +32,7 @@
 	engine    *sparcookie.Engine
 	now       time.Duration
 	upstreams []sparroster.Upstream
+	unusable  []uint64 // upstreams whose entries can't be used
 	routes    []sparroster.Route
 	port      uint16
 }
@@ -89,6 +90,9 @@
 	for _, u := range f.upstreams {
 		facts[fmt.Sprint(sparroster.UpstreamPrefix, u.ID)] = u
 	}
+	for _, id := range f.unusable {
+		facts[fmt.Sprint(sparroster.UpstreamPrefix, id)] = sparroster.Unusable{ID: id}
+	}
 	for key := range facts {
 		registry = registry.With(sparregistry.Entry{Key: key, Revision: 1})
 	}
--- a/internal/route/sparcookie/forward_test.go
+++ b/internal/route/sparcookie/forward_test.go
@@ -139,6 +139,62 @@
 	}
 }
 
+// TestUnusableUpstreamKeepsItsFlows guards against resets of flows whose upstream lives: another
+// writer has replaced its entry. The upstream takes no new flows until it has written its
+// entry again.
+func TestUnusableUpstreamKeepsItsFlows(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		t.Run(fmt.Sprintf("draining %v", draining), func(t *testing.T) {
+			f := newFixture(t)
+			c := f.newClient(bookingAddr)
+			c.open()
+			c.ackHandshake()
+			f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = draining })
+			f.unusable = []uint64{c.upstream}
+			f.apply()
+			c.request()
+			for range 5 {
+				f.wait(retransmitAfter)
+				if v := c.request(); v.Action != sparcookie.ToUpstream || v.ID != c.upstream {
+					t.Fatalf("verdict %v %v, want the upstream of the flow", v.Action, v.Cause)
+				}
+			}
+			for range 20 {
+				if v := f.newClient(bookingAddr).open(); v.ID == c.upstream || v.Action != sparcookie.ToUpstream {
+					t.Fatalf("verdict %v %v on a new flow, want another upstream", v.Action, v.Cause)
+				}
+			}
+			f.unusable = nil
+			f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = false })
+			f.wait(time.Minute)
+			taken := false
+			for range 100 {
+				other := f.newClient(bookingAddr)
+				other.open()
+				other.ackHandshake()
+				taken = taken || other.upstream == c.upstream
+			}
+			if !taken {
+				t.Error("takes no flows after its entry is back")
+			}
+		})
+	}
+}
+
+// TestUnknownUnusableUpstream puts an entry in force that can't be used, of an upstream that this VM
+// never knew, and that of one which was removed.
+func TestUnknownUnusableUpstream(t *testing.T) {
+	f := newFixture(t)
+	c := f.newClient(bookingAddr)
+	c.open()
+	f.remove(c.upstream)
+	f.unusable = []uint64{c.upstream, 0x7777}
+	f.apply()
+	if states := f.engine.UpstreamStates(); len(states) != 5 {
+		t.Errorf("%d upstreams, want the 5 others", len(states))
+	}
+}
+
 func TestReorderedPacketIsNoRetransmit(t *testing.T) {
 	f := newFixture(t)
 	c := f.newClient(bookingAddr)
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -126,7 +126,7 @@
 // tierOf returns the tier of u.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
-	case u.Draining || u.removed:
+	case u.Draining || u.removed || u.unusable:
 		return tierNone
 	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -85,7 +85,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamRemoved or HealthChanged.
+	// UpstreamUnusable, UpstreamRemoved or HealthChanged.
 	Event interface {
 		event()
 	}
@@ -96,6 +96,12 @@
 		Upstream sparroster.Upstream
 	}
 
+	// UpstreamUnusable reports an upstream whose entry can't be used any more. It takes no new
+	// flows.
+	UpstreamUnusable struct {
+		Upstream sparroster.Upstream
+	}
+
 	// UpstreamRemoved reports an upstream that was removed from the roster.
 	UpstreamRemoved struct {
 		Upstream sparroster.Upstream
@@ -115,9 +121,10 @@
 	}
 )
 
-func (UpstreamUpdated) event() {}
-func (UpstreamRemoved) event() {}
-func (HealthChanged) event()   {}
+func (UpstreamUpdated) event()  {}
+func (UpstreamUnusable) event() {}
+func (UpstreamRemoved) event()  {}
+func (HealthChanged) event()    {}
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
--- a/internal/settings/sparconfig/config_test.go
+++ b/internal/settings/sparconfig/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,35 @@
 	}
 }
 
+// TestDeeplyNested guards against texts of another writer that end the process: the parser
+// recurses, and a stack that overflows can't be recovered from.
+func TestDeeplyNested(t *testing.T) {
+	const bytes = 1 << 20
+	for name, text := range map[string]string{
+		"lists":                                 strings.Repeat("[", bytes),
+		"objects":                               strings.Repeat(`{"a":`, bytes/5),
+		"whole lists":                           strings.Repeat("[", bytes/2) + strings.Repeat("]", bytes/2),
+		"behind strings":                        `{"a[\"": "\\", "b": ` + strings.Repeat("[", bytes),
+		"behind a comment, with brackets in it": "{ // ]]]\n /* }}} */ \"a\": " + strings.Repeat("[", bytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := sparconfig.ParseVM("vm-1", []byte(text)); err == nil {
+				t.Error("a VM is accepted")
+			}
+			if _, err := sparconfig.ParseDocument([]byte(text)); err == nil {
+				t.Error("a document is accepted")
+			}
+			if _, err := sparconfig.ParseFile([]byte(text)); err == nil {
+				t.Error("a settings file is accepted")
+			}
+		})
+	}
+	shallow := `{"domain": "[[[{{{", "data": "10.0.0.1:1", /* [[[ */ "control": "10.0.0.1:2"} // ` + strings.Repeat("[", 100) + "\n"
+	if _, err := sparconfig.ParseVM("vm-1", []byte(shallow)); err != nil {
+		t.Errorf("brackets in strings and comments: %v", err)
+	}
+}
+
 func FuzzParseDocument(f *testing.F) {
 	f.Add([]byte(goodDocument))
 	f.Add([]byte(`{"upstreams": [{"at": ":"}]}`))
--- a/internal/settings/sparconfig/service.go
+++ b/internal/settings/sparconfig/service.go
@@ -314,6 +314,9 @@
 
 // decode parses JSON with comments into to. It refuses unknown fields.
 func decode(text []byte, to any) error {
+	if err := checkDepth(text); err != nil {
+		return err
+	}
 	standard, err := hujson.Standardize(text)
 	if err != nil {
 		return errors.Errorf("%v, expected JSON with comments", err)
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -34,18 +34,22 @@
 	// VMPrefix is the prefix of the registry keys of VMs. The name follows.
 	VMPrefix = "vm/"
 
+	// maxCause is the number of bytes of the cause of a problem, which may repeat the entry.
+	maxCause = 300
+
 	// DefaultIdle is the idle timeout of flows if the routing sets none.
 	DefaultIdle = 15 * time.Second
 )
 
 type (
-	// Fact is the decoded value of a key. It is a sealed interface: Routing, Upstream or
-	// VM.
+	// Fact is the decoded value of a key. It is a sealed interface: Routing, Upstream,
+	// Unusable or VM.
 	Fact interface {
 		fact()
 	}
 
-	// Decoder decodes the value of a registry key from the platform's format.
+	// Decoder decodes the value of a registry key from the platform's format. With an error it
+	// returns Unusable if the entry is that of an upstream.
 	Decoder func(key string, value []byte) (Fact, error)
 
 	// Routing is the configuration set by the operator.
@@ -81,6 +85,13 @@
 		Born     int64         // start time in Unix milliseconds, 0 if unknown
 	}
 
+	// Unusable is an upstream whose entry can't be used, since another writer has left it. The
+	// upstream takes no new flows. Nothing says that it has stopped, so it keeps those that it
+	// has.
+	Unusable struct {
+		ID uint64
+	}
+
 	// VM is one entry VM.
 	VM struct {
 		sparconfig.VM
@@ -100,6 +111,7 @@
 		Routing   Routing
 		RoutingAt sparregistry.Position // that changed the routing last
 		Upstreams []Upstream            // by ID
+		Unusable  []Unusable
 		VMs       []sparconfig.VM
 		Problems  []Problem
 
@@ -117,6 +129,7 @@
 
 func (Routing) fact()  {}
 func (Upstream) fact() {}
+func (Unusable) fact() {}
 func (VM) fact()       {}
 
 // New returns the roster of the live entries of a registry.
@@ -167,6 +180,9 @@
 }
 
 func (r *Roster) addProblem(key string, at sparregistry.Position, cause string) {
+	if len(cause) > maxCause {
+		cause = strings.ToValidUTF8(cause[:maxCause], "") + "..."
+	}
 	r.Problems = append(r.Problems, Problem{Key: key, At: at, Cause: cause})
 }
 
@@ -185,9 +201,10 @@
 func (r *Roster) add(key string, entry decodedEntry) {
 	if entry.err != nil {
 		r.addProblem(key, entry.at, entry.err.Error())
-		return
 	}
 	switch fact := entry.fact.(type) {
+	case Unusable:
+		r.Unusable = append(r.Unusable, fact)
 	case Routing:
 		r.Routing, r.RoutingAt = fact, entry.at
 		for _, cause := range fact.Refused {
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -19,7 +19,7 @@
 	case key == sparroster.RoutingKey:
 		return sparroster.Routing{Version: 3, Routes: []sparroster.Route{{Address: front, Targets: []sparroster.Target{{Service: "a"}}}}}, nil
 	case len(value) == 0:
-		return nil, errors.New("empty")
+		return sparroster.Unusable{ID: uint64(len(key))}, errors.New("empty")
 	}
 	return sparroster.Upstream{ID: uint64(len(key)), Service: string(value)}, nil
 }
@@ -34,10 +34,10 @@
 	roster := sparroster.New(r, decode)
 	route, ok := roster.Route(front)
 	fmt.Println(len(roster.Upstreams), route.HasTarget("a"), route.HasTarget("b"), ok)
-	fmt.Println(roster.Problems[0].Key, roster.Problems[0].Cause)
+	fmt.Println(roster.Problems[0].Key, roster.Problems[0].Cause, roster.Unusable)
 	// Output:
 	// 1 true false true
-	// upstream/22 empty
+	// upstream/22 empty [{11}]
 }
 
 func TestDeletedEntriesAreLeftOut(t *testing.T) {
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -73,6 +73,8 @@
 		switch e := event.(type) {
 		case sparcookie.UpstreamUpdated:
 			vm.logUpstream("upstream listed", e.Upstream, logrus.Fields{"draining": e.Upstream.Draining, "warm_ms": e.Upstream.Warm.Milliseconds()})
+		case sparcookie.UpstreamUnusable:
+			vm.logUpstream("upstream unusable", e.Upstream, logrus.Fields{"draining": e.Upstream.Draining})
 		case sparcookie.UpstreamRemoved:
 			vm.logUpstream("upstream left", e.Upstream, nil)
 		case sparcookie.HealthChanged:
