sparsync: after changes above their limit, try small ones again after a while

Found by reading: each change in that time renewed it, so that a site with a large document and a steady churn of upstreams would have read everything each time. Only changes that were read, or begun to be, count now.

--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -85,8 +85,9 @@
 	return append(s.forward(now), s.notifyWaiting(now)...)
 }
 
-// ReadIncomplete is called when an incremental read lacks some changes, or has more bytes than
-// its limit, so that it says nothing about freshness. A full read takes its place and begins at now.
+// ReadIncomplete is called when an incremental read lacks some changes, so that it says nothing
+// about freshness. A full read takes its place and begins at now. tooLarge reports whether the
+// changes had more bytes than the Limit of the read, if that was above 0.
 func (s *Sync) ReadIncomplete(tooLarge bool, now time.Duration) []Output {
 	s.readBegan = now
 	if tooLarge {
--- a/internal/member/sparsync/reader_test.go
+++ b/internal/member/sparsync/reader_test.go
@@ -73,6 +73,34 @@
 	}
 }
 
+// TestChangesAboveTheirLimit checks that changes which are too large are replaced by a full read, that
+// the next ones are as well for a while, and that small ones are read again after that.
+func TestChangesAboveTheirLimit(t *testing.T) {
+	s := sparsync.New(sparconfig.VM{Name: "vm-1"}, run, bound, beat)
+	now := time.Millisecond
+	s.Tick(now)
+	s.ReadDone(now, sparsync.Held{At: at(7), Digest: 42}, largeSettings, now)
+	var limits []int
+	for range 10 {
+		now += bound / 2
+		for _, out := range s.Tick(now) {
+			r, ok := out.(sparsync.Read)
+			if !ok {
+				continue
+			}
+			limits = append(limits, r.Limit)
+			if outs := s.ReadIncomplete(r.Limit > 0 && len(limits) == 1, now); !hasRead(outs) {
+				t.Fatalf("%v, want a full read", outs)
+			}
+			s.ReadDone(now, sparsync.Held{At: at(7), Digest: 42}, largeSettings, now)
+		}
+	}
+	full := largeSettings / 4
+	if want := fmt.Sprint([]int{full, 0, 0, 0, full}); len(limits) < 5 || fmt.Sprint(limits[:5]) != want {
+		t.Errorf("limits %v, want %s first", limits, want)
+	}
+}
+
 // TestFullReadAfterAnOutage checks that a reader does not read incrementally while entries
 // that have expired during an outage may come back.
 func TestFullReadAfterAnOutage(t *testing.T) {
--- a/internal/member/sparsync/sim_test.go
+++ b/internal/member/sparsync/sim_test.go
@@ -30,7 +30,7 @@
 	smallSettings = 4_000     // bytes; each read is a full read
 	largeSettings = 2_300_000 // bytes of 7,800 upstreams and 1,300 routes
 	changeSize    = 500       // bytes of a change, and of a call that returns none
-	datagram      = 150       // bytes of a notification with its headers
+	datagram      = 170       // bytes of a notification with its headers
 	compression   = 3         // ratio of the settings to their encoding in a pull
 
 	linkRate     = 20_000_000 / 8         // bytes a second, of a VM's link
@@ -285,7 +285,7 @@
 				s.calls++
 			}
 			if !after.IsZero() && (after.Era != at(revision).Era || after.Compare(at(revision)) < 0 && s.withholding || tooLarge) {
-				m.perform(m.sync.ReadIncomplete(tooLarge, s.now))
+				m.perform(m.sync.ReadIncomplete(tooLarge && read.Limit > 0, s.now))
 				return
 			}
 			s.read += size
--- a/internal/vm/sparentry/read.go
+++ b/internal/vm/sparentry/read.go
@@ -95,7 +95,7 @@
 		return incrementalRead{reached: reached}, err
 	}
 	if r.limit == 0 {
-		return incrementalRead{reached: reached, tooLarge: true}, nil
+		return incrementalRead{reached: reached}, nil // incomplete, since none of the changes are read
 	}
 	c, err := vm.store.Changes(ctx, after.Revision, r.limit)
 	tooLarge := errors.Is(err, platform.ErrTooLarge)
