sparentry: log notifications that were late, count those that do not tell

"notification was late" gives the time under way, the age it told and the age of the settings; unverified_notifications counts those without an echo.

Tried and dropped: to leave out all entries of servers whose IDs have the same digits.

--- a/internal/member/sparsync/timing.go
+++ b/internal/member/sparsync/timing.go
@@ -36,14 +36,20 @@
 	return t
 }
 
+// UnderWay returns how long a datagram has been under way at most, since its echo had left this
+// VM before it was sent. ok is false if it has no echo of this run: nothing then tells.
+func (s *Sync) UnderWay(t Timing, now time.Duration) (d time.Duration, ok bool) {
+	if t.Echo.Incarnation != s.incarnation || t.Echo.At <= 0 {
+		return 0, false
+	}
+	return max(now-t.Echo.At-t.Held, 0), true
+}
+
 // received records a datagram from a peer. It returns the earliest time at which the datagram
-// can have been sent, since its echo had left this VM before. ok is false if it has no echo of
-// this run: nothing then tells how long it has been under way.
+// can have been sent. ok is false if nothing tells how long it has been under way.
 func (s *Sync) received(from sparconfig.VM, t Timing, now time.Duration) (sent time.Duration, ok bool) {
-	sent, ok = now, t.Echo.Incarnation == s.incarnation && t.Echo.At > 0
-	if ok {
-		sent = min(t.Echo.At+t.Held, now)
-	}
+	d, ok := s.UnderWay(t, now)
+	sent = now - d
 	s.markAlive(from, sent)
 	if p := s.peers[from.Name]; p != nil && t.Sent != (Timestamp{}) {
 		p.echo, p.echoAt = t.Sent, now
--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -111,6 +111,26 @@
 	}
 }
 
+// TestLateNotificationIsLogged pauses a VM while a notification waits for it. The log says how long.
+func TestLateNotificationIsLogged(t *testing.T) {
+	s := newSite(t)
+	reader := s.start("vm-1")
+	eventually(t, "ready", reader.ready)
+	v := s.start("vm-2", reader.file.Control)
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-2"); return ok })
+	eventually(t, "a log line for a late notification", func() bool {
+		for _, one := range []*vm{reader, v} {
+			if err := one.running.Pause(t.Context(), 1200*time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+			if fields, ok := one.log.find("notification was late"); ok {
+				return fields["under_way_ms"].(float64) >= 500
+			}
+		}
+		return false
+	})
+}
+
 // TestInvalidInput sends invalid packets, control datagrams and platform entries, and checks
 // that a SYN still reaches its upstream.
 func TestInvalidInput(t *testing.T) {
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -7,12 +7,17 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
+	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
+// lateNotification is how long a notification may be under way before a line says so: much longer
+// than between any two VMs that run.
+const lateNotification = 500 * time.Millisecond
+
 // logVerdict logs each decision other than plain forwarding within a flow. The flow field
 // identifies the request, since clients log both ends of the connection that carried it.
 func (vm *VM) logVerdict(s sparcookie.Segment, v sparcookie.Verdict) {
@@ -210,6 +215,21 @@
 	}).Warn("changes incomplete, everything is read")
 }
 
+// noteUnderWay logs a notification that was under way for long, and counts one that does not tell.
+func (vm *VM) noteUnderWay(n sparsync.Notification, now time.Duration) {
+	d, ok := vm.sync.UnderWay(n.Timing, now)
+	if !ok {
+		vm.metrics.unverified.Add(1)
+		return
+	}
+	if d >= lateNotification {
+		vm.log.WithFields(logrus.Fields{
+			"from": n.From.Name, "reader": n.Reader, "revision": n.At.Revision,
+			"under_way_ms": d.Milliseconds(), "told_age_ms": n.Age.Milliseconds(), "age_ms": vm.age.Milliseconds(),
+		}).Info("notification was late")
+	}
+}
+
 // logWentBack logs that the platform is at an earlier position than at the last read of this
 // VM: it has lost changes.
 func (vm *VM) logWentBack(before, now sparregistry.Position) {
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -27,6 +27,7 @@
 	control    atomic.Uint64     // bytes of control datagrams sent
 	served     atomic.Uint64     // pulls of peers that were served
 	busy       atomic.Uint64     // pulls of peers that were refused because of overload
+	unverified atomic.Uint64     // notifications that do not tell how long they were under way
 	passedOver atomic.Uint64     // entries of full reads that were older than those held
 	restores   atomic.Uint64     // eras of the platform that followed another one
 	counts     map[string]uint64 // totals published last
@@ -57,6 +58,7 @@
 	m.count("busy_pulls", m.busy.Load())
 	m.count("platform_restores", m.restores.Load())
 	m.count("passed_over_entries", m.passedOver.Load())
+	m.count("unverified_notifications", m.unverified.Load())
 	m.count("refused_control", m.badControl.Load())
 	m.count("early_packets", m.early.Load())
 	m.count("unread_datagrams", m.unread.Load())
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -84,6 +84,7 @@
 func (vm *VM) receive(datagram sparcontrol.Input, now time.Duration) {
 	switch d := datagram.(type) {
 	case sparcontrol.ReceivedNotification:
+		vm.noteUnderWay(d.Notification, now)
 		vm.confirm(d.Notification)
 		vm.perform(vm.sync.Notified(d.Notification, now), now)
 	case sparcontrol.ReceivedQuery:
