sparcookie, sparroster, platform: evacuated failure domains take no new flows

Change: entries of evacuations are registry keys like all others, so they spread, settle after a restore and age as settings do. Upstreams of such a domain take no new flows, nor copies of a SYN; their open flows stay, since a reset would break a flow whose upstream runs. With all domains evacuated, new flows are refused at once. Settings are kept within the shorter of force and the new setting evacuate.

--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -161,13 +161,14 @@
 
 // FromVM converts vm to its protobuf message.
 func FromVM(vm sparconfig.VM) *VM {
-	return &VM{Name: vm.Name, Domain: vm.Domain, Data: vm.Data, Control: vm.Control}
+	return &VM{Name: vm.Name, Domain: vm.Domain, Data: vm.Data, Control: vm.Control, Size: uint32(vm.Size)}
 }
 
 // ToVM converts v to a live VM of the settings. A nil v gives one without a name.
 func (v *VM) ToVM() sparconfig.VM {
 	return sparconfig.VM{
 		Name: v.GetName(), Domain: v.GetDomain(), Data: v.GetData(), Control: v.GetControl(), State: sparconfig.Live,
+		Size: int(v.GetSize()),
 	}
 }
 
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -79,6 +79,7 @@
 		removed         bool // no longer in the roster
 		unusable        bool // in the roster with an entry that can't be used
 		removedAt       time.Duration
+		evacuated       bool          // its failure domain is evacuated
 		warmUntil       time.Duration // end of the warm-up
 		flows           int           // open flows on record
 		recent          decayingCount // requests over recentSpan
@@ -161,6 +162,7 @@
 		inRoster[entry.ID] = inRoster[entry.ID] || e.keepUnusable(entry.ID)
 	}
 	for id, u := range e.upstreams {
+		u.evacuated = r.Evacuates(u.Domain) // also of one whose entry is unusable
 		if !inRoster[id] && !u.removed {
 			u.removed, u.removedAt = true, e.now
 			e.emit(UpstreamRemoved{Upstream: u.Upstream})
--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -33,6 +33,7 @@
 	now       time.Duration
 	upstreams []sparroster.Upstream
 	unusable  []uint64 // upstreams whose entries can't be used
+	evacuated []string // failure domains
 	routes    []sparroster.Route
 	port      uint16
 }
@@ -93,6 +94,9 @@
 	for _, id := range f.unusable {
 		facts[fmt.Sprint(sparroster.UpstreamPrefix, id)] = sparroster.Unusable{ID: id}
 	}
+	for _, domain := range f.evacuated {
+		facts[sparroster.EvacuationPrefix+domain] = sparroster.Evacuation{Domain: domain}
+	}
 	for key := range facts {
 		registry = registry.With(sparregistry.Entry{Key: key, Revision: 1})
 	}
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -73,11 +73,25 @@
 func (e *Engine) forwardRetransmittedSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	f.lastSeen = e.now
+	if u.evacuated {
+		return e.moveSYN(rec, key, f)
+	}
 	if e.now-f.lastProgress < minRetransmitAge || u.lastResponse > f.lastProgress {
 		return e.send(Repeated, u)
 	}
 	e.noteUnanswered(u, f)
+	return e.moveSYN(rec, key, f)
+}
+
+// moveSYN sends a retransmitted SYN to another upstream than that of its record. If no other one
+// takes it, it goes to the same one, unless that was evacuated meanwhile.
+func (e *Engine) moveSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
+	u := f.upstream
 	other := e.choose(rec, key, u)
+	if other == nil && u.evacuated {
+		e.forget(key)
+		return e.reset(NoUpstream, nil)
+	}
 	if other == nil {
 		return e.send(Repeated, u)
 	}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -123,10 +123,15 @@
 	}
 }
 
+// takesFlows reports whether the settings let u take new flows.
+func (e *Engine) takesFlows(u *upstream) bool {
+	return !u.Draining && !u.removed && !u.unusable && !u.evacuated
+}
+
 // tierOf returns the tier of u.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
-	case u.Draining || u.removed || u.unusable:
+	case !e.takesFlows(u):
 		return tierNone
 	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -24,21 +24,28 @@
 	// File is the settings file of one entry VM. Fields marked geneve or cookie are refused
 	// with the other carrier. With their own carrier those without a default are required.
 	File struct {
-		Carrier  string   `json:"carrier,omitempty"` // geneve or cookie: how the fabric delivers packets
-		Name     string   `json:"name"`              // unique among VMs
-		Domain   string   `json:"domain"`            // failure domain
-		Data     string   `json:"data"`              // UDP address for packets
-		Control  string   `json:"control"`           // UDP and TCP address for peers, operators and metrics
-		Fabric   string   `json:"fabric"`            // UDP address to which packets are returned; geneve
-		Platform string   `json:"platform"`          // HTTP address of the key-value service
-		Secret   string   `json:"secret"`            // 32 hexadecimal digits, the same on all VMs; geneve
-		Seeds    []string `json:"seeds,omitempty"`   // control addresses of VMs to query at the start or while the platform is down
-		Log      string   `json:"log,omitempty"`     // text or json
-		Flows    int      `json:"flows,omitempty"`   // limit of cached flows
-		Ready    string   `json:"ready,omitempty"`   // HTTP address of the fabric's readiness probe; cookie
-		Force    Figure   `json:"force,omitempty"`   // milliseconds within which settings must be in force everywhere; cookie
-		Grace    Figure   `json:"grace,omitempty"`   // seconds from SIGTERM to SIGKILL; cookie
-		Beat     Figure   `json:"beat,omitempty"`    // milliseconds between two heartbeats of an upstream to the platform; cookie
+		Carrier  string   `json:"carrier,omitempty"`  // geneve or cookie: how the fabric delivers packets
+		Name     string   `json:"name"`               // unique among VMs
+		Domain   string   `json:"domain"`             // failure domain
+		Data     string   `json:"data"`               // UDP address for packets
+		Control  string   `json:"control"`            // UDP and TCP address for peers, operators and metrics
+		Fabric   string   `json:"fabric"`             // UDP address to which packets are returned; geneve
+		Platform string   `json:"platform"`           // HTTP address of the key-value service
+		Secret   string   `json:"secret"`             // 32 hexadecimal digits, the same on all VMs; geneve
+		Seeds    []string `json:"seeds,omitempty"`    // control addresses of VMs to query at the start or while the platform is down
+		Log      string   `json:"log,omitempty"`      // text or json
+		Flows    int      `json:"flows,omitempty"`    // limit of cached flows
+		Ready    string   `json:"ready,omitempty"`    // HTTP address of the fabric's readiness probe; cookie
+		Force    Figure   `json:"force,omitempty"`    // milliseconds within which settings must be in force everywhere; cookie
+		Grace    Figure   `json:"grace,omitempty"`    // seconds from SIGTERM to SIGKILL; cookie
+		Beat     Figure   `json:"beat,omitempty"`     // milliseconds between two heartbeats of an upstream to the platform; cookie
+		Evacuate Figure   `json:"evacuate,omitempty"` // milliseconds within which an evacuation must be in force everywhere; cookie
+		Overage  Figure   `json:"overage,omitempty"`  // how many times its own limit an upstream may get while it warms up; cookie
+		Slack    Figure   `json:"slack,omitempty"`    // requests that it may get beyond that; cookie
+		Hedge    Figure   `json:"hedge,omitempty"`    // share of openings that may be sent to a second upstream; cookie
+		CPU      Figure   `json:"cpu,omitempty"`      // share of each core that this VM may use; cookie
+		Cores    Figure   `json:"cores,omitempty"`    // processor cores of this VM; cookie
+		Link     Figure   `json:"link,omitempty"`     // megabits per second of its link; cookie
 	}
 
 	// Carrier is how the fabric delivers packets, which determines how a VM finds the
@@ -58,6 +65,24 @@
 		Force time.Duration // within which settings must be in force everywhere
 		Grace time.Duration // from SIGTERM to SIGKILL
 		Beat  time.Duration // between two heartbeats of an upstream to the platform
+
+		Evacuate time.Duration // within which an evacuation must be in force everywhere
+		Warm     WarmLimit
+		Hedge    float64 // share of openings that may be sent to a second upstream, 0 for none
+		Capacity Capacity
+	}
+
+	// WarmLimit is by how much an upstream may exceed the rate that it takes during its warm-up:
+	// rate times Overage plus Slack, in any second.
+	WarmLimit struct {
+		Overage float64
+		Slack   float64 // requests
+	}
+
+	// Capacity is what a VM has of processor and link, 0 for unknown.
+	Capacity struct {
+		Cores float64 // processor cores that it may use
+		Link  float64 // megabits per second
 	}
 
 	// VM is one entry of the list of VMs on the platform.
@@ -67,6 +92,7 @@
 		Data    string `json:"data"`
 		Control string `json:"control"`
 		State   string `json:"state"`
+		Size    int    `json:"size,omitempty"` // capacity class, 0 for unknown; a larger VM has a higher one
 	}
 )
 
@@ -87,6 +113,9 @@
 	// DefaultBeat is the time, in milliseconds, between two heartbeats of an upstream to the
 	// platform.
 	DefaultBeat = 1200
+	// DefaultOverage and DefaultSlack keep an upstream to its own limit during its warm-up.
+	DefaultOverage = 1
+	DefaultSlack   = 0
 
 	secretDigits = 32
 	minForce     = 100     // milliseconds; a few ticks of a VM
@@ -95,6 +124,11 @@
 	maxGrace     = 3600    // seconds
 	minBeat      = 100     // milliseconds
 	maxBeat      = 600_000 // milliseconds
+	maxOverage   = 100
+	maxSlack     = 1_000_000 // requests
+	maxHedge     = 0.1       // of openings; more would load upstreams that are short of slots
+	maxCores     = 4096
+	maxLink      = 10_000_000 // megabits per second
 )
 
 func (GeneveCarrier) carrier() {}
@@ -105,12 +139,23 @@
 	if f.Carrier == Cookie {
 		return CookieCarrier{
 			Ready: f.Ready, Force: f.Force.duration(time.Millisecond), Grace: f.Grace.duration(time.Second),
-			Beat: f.Beat.duration(time.Millisecond),
+			Beat: f.Beat.duration(time.Millisecond), Evacuate: f.Evacuate.duration(time.Millisecond),
+			Warm: WarmLimit{Overage: float64(f.Overage), Slack: float64(f.Slack)}, Hedge: float64(f.Hedge),
+			Capacity: Capacity{Cores: float64(f.CPU * f.Cores), Link: float64(f.Link)},
 		}
 	}
 	return GeneveCarrier{Fabric: f.Fabric}
 }
 
+// Bound returns the time within which what operators write must be in force everywhere: the
+// shortest of those that are set.
+func (c CookieCarrier) Bound() time.Duration {
+	if c.Evacuate > 0 && c.Evacuate < c.Force {
+		return c.Evacuate
+	}
+	return c.Force
+}
+
 // ReadFile reads and checks the settings file at path. Errors name the file.
 func ReadFile(path string) (f File, err error) {
 	defer func() {
@@ -168,6 +213,15 @@
 	if f.Beat == 0 {
 		f.Beat = DefaultBeat
 	}
+	if f.Evacuate == 0 {
+		f.Evacuate = f.Force
+	}
+	if f.Overage == 0 {
+		f.Overage = DefaultOverage
+	}
+	if f.Cores == 0 {
+		f.Cores = 1
+	}
 	return f
 }
 
@@ -218,6 +272,9 @@
 	if f.Ready != "" || f.Force != 0 || f.Grace != 0 || f.Beat != 0 {
 		return errors.Errorf("ready, force, grace, beat: expected only with the carrier %s", Cookie)
 	}
+	if f.Evacuate != 0 || f.Overage != 0 || f.Slack != 0 || f.Hedge != 0 || f.CPU != 0 || f.Cores != 0 || f.Link != 0 {
+		return errors.Errorf("evacuate, overage, slack, hedge, cpu, cores, link: expected only with the carrier %s", Cookie)
+	}
 	if err := checkAddress(f.Fabric); err != nil {
 		return errors.Annotate(err, "fabric")
 	}
@@ -240,7 +297,26 @@
 	if err := f.Grace.check("grace", minGrace, maxGrace, "seconds"); err != nil {
 		return err
 	}
-	return f.Beat.check("beat", minBeat, maxBeat, "milliseconds")
+	if err := f.Beat.check("beat", minBeat, maxBeat, "milliseconds"); err != nil {
+		return err
+	}
+	if err := f.Evacuate.check("evacuate", minForce, maxForce, "milliseconds"); err != nil {
+		return err
+	}
+	for _, field := range []struct {
+		name        string
+		value, most Figure
+		unit        string
+	}{
+		{"overage", f.Overage, maxOverage, "times"}, {"slack", f.Slack, maxSlack, "requests"},
+		{"hedge", f.Hedge, maxHedge, "of openings"}, {"cpu", f.CPU, 1, "of a core"},
+		{"cores", f.Cores, maxCores, "cores"}, {"link", f.Link, maxLink, "megabits per second"},
+	} {
+		if err := field.value.check(field.name, 0, field.most, field.unit); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func checkAddress(s string) error {
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -33,6 +33,9 @@
 	UpstreamPrefix = "upstream/"
 	// VMPrefix is the prefix of the registry keys of VMs. The name follows.
 	VMPrefix = "vm/"
+	// EvacuationPrefix is the prefix of the registry keys of evacuations. The failure domain
+	// follows.
+	EvacuationPrefix = "evacuation/"
 
 	// maxCause is the number of bytes of the cause of a problem, which may repeat the entry.
 	maxCause = 300
@@ -43,7 +46,7 @@
 
 type (
 	// Fact is the decoded value of a key. It is a sealed interface: Routing, Upstream,
-	// Unusable or VM.
+	// Unusable, VM or Evacuation.
 	Fact interface {
 		fact()
 	}
@@ -54,10 +57,11 @@
 
 	// Routing is the configuration set by the operator.
 	Routing struct {
-		Version uint64
-		Routes  []Route
-		Idle    time.Duration // idle timeout of flows
-		Refused []string      // invalid routes, with the reason
+		Version  uint64
+		Routes   []Route
+		Services []Service
+		Idle     time.Duration // idle timeout of flows
+		Refused  []string      // invalid routes, with the reason
 	}
 
 	// Route maps an address to the services that take its flows.
@@ -65,6 +69,19 @@
 		Name    string
 		Address sparflow.Endpoint // that clients connect to
 		Targets []Target
+
+		Repeatable bool          // its requests may run more than once
+		Priority   int           // 0 is the most urgent
+		Target     time.Duration // latency objective of its requests, 0 if there is none
+		Timeout    time.Duration // after which its clients give up, 0 if unknown
+	}
+
+	// Service is what the operator has configured for the upstreams of a service.
+	Service struct {
+		Name string
+		// WarmRate is the number of requests per second that an upstream of the service takes
+		// during its warm-up, 0 for no limit.
+		WarmRate float64
 	}
 
 	// Target is a service with its share of new flows.
@@ -97,6 +114,12 @@
 		sparconfig.VM
 	}
 
+	// Evacuation asks that the upstreams of a failure domain take no new flows until its entry is
+	// removed.
+	Evacuation struct {
+		Domain string
+	}
+
 	// Problem is an entry, or a route of the routing, that was left out.
 	Problem struct {
 		Key   string
@@ -113,6 +136,7 @@
 		Upstreams []Upstream            // by ID
 		Unusable  []Unusable
 		VMs       []sparconfig.VM
+		Evacuated []string // failure domains, in order
 		Problems  []Problem
 
 		routes  map[sparflow.Endpoint]Route
@@ -127,10 +151,11 @@
 	}
 )
 
-func (Routing) fact()  {}
-func (Upstream) fact() {}
-func (Unusable) fact() {}
-func (VM) fact()       {}
+func (Routing) fact()    {}
+func (Upstream) fact()   {}
+func (Unusable) fact()   {}
+func (VM) fact()         {}
+func (Evacuation) fact() {}
 
 // New returns the roster of the live entries of a registry.
 func New(registry sparregistry.Registry, decode Decoder) Roster {
@@ -214,6 +239,8 @@
 		r.Upstreams = append(r.Upstreams, fact)
 	case VM:
 		r.VMs = append(r.VMs, fact.VM)
+	case Evacuation:
+		r.Evacuated = append(r.Evacuated, fact.Domain) // entries come in the order of their keys
 	}
 }
 
@@ -223,6 +250,19 @@
 	return route, ok
 }
 
+// Evacuates reports whether the upstreams of a failure domain take no new flows.
+func (r Roster) Evacuates(domain string) bool { return slices.Contains(r.Evacuated, domain) }
+
+// Service returns what is configured for a service, or the zero Service.
+func (r Routing) Service(name string) Service {
+	for _, s := range r.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Service{}
+}
+
 // Addresses returns the addresses that have a route, in order.
 func (r Roster) Addresses() []sparflow.Endpoint {
 	return slices.Sorted(maps.Keys(r.routes))
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -157,7 +157,7 @@
 		queries: sparring.NewQueries[*VM](queryRing), pulls: sparring.New[pull](pullRing),
 		reads: sparring.New[readRequest](1), writes: sparring.New[write](writeRing),
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
-		sync:   sparsync.New(file.VM(), rand.Uint32(), carrier.Force, carrier.Beat), carrier: carrier,
+		sync:   sparsync.New(file.VM(), rand.Uint32(), carrier.Bound(), carrier.Beat), carrier: carrier,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
 		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
 	}
