sparstatus, sparentry, sparcontrol: evacuations can be seen

Cause: an evacuation was in force without a trace, and the status called the upstreams of an evacuated domain serving, "new flows may go there", which is false. Change: log lines and time-line events when an evacuation comes into force and ends at a VM, gauges evacuated_domains and evacuated_flows, facts to the survey, status lines of evacuations and of their upstreams; a service whose upstreams are all evacuated or drain is called out.

--- a/internal/operator/sparstatus/status.go
+++ b/internal/operator/sparstatus/status.go
@@ -59,6 +59,7 @@
 		Everywhere uint64            // revision in force everywhere, or 0
 		Drained    sparflow.Endpoint // upstream that has drained at Revision, or 0
 		Revision   uint64            // of the service
+		Evacuated  string            // failure domain whose evacuation is in force everywhere, or ""
 	}
 
 	// Report is a whole status. The zero Report means that no VM responded.
@@ -67,6 +68,9 @@
 		Answered int
 		Silent   []string
 		Facts    []Fact
+
+		Least       uint64   // revision that every VM has in force, 0 if any is in an earlier era
+		EvacuatedAt []string // failure domains whose evacuation is in force at any VM
 	}
 )
 
@@ -153,9 +157,11 @@
 			r.Revision = max(r.Revision, a.Revision)
 		}
 	}
+	r.Least, r.EvacuatedAt = d.least(), d.evacuatedAt()
 	r.Facts = append(r.Facts, d.vms(r.Silent)...)
 	r.Facts = append(r.Facts, d.platform())
 	r.Facts = append(r.Facts, d.restore()...)
+	r.Facts = append(r.Facts, d.evacuations()...)
 	for _, name := range d.services() {
 		r.Facts = append(r.Facts, d.service(name)...)
 	}
@@ -287,6 +293,7 @@
 	unrecorded bool // it may have flows without a record
 	flows      uint32
 	healthy    int // number of VMs that find it healthy
+	evacuated  int // number of VMs at which its failure domain is evacuated
 	until      int64
 }
 
@@ -308,7 +315,7 @@
 			}
 		}
 	}
-	var facts []Fact
+	facts := d.unavailable(name, sums)
 	for _, at := range order {
 		facts = append(facts, d.upstream(name, revision.Revision, everywhere, sums[at]))
 	}
@@ -323,6 +330,9 @@
 	if f.Healthy {
 		u.healthy++
 	}
+	if f.Evacuated {
+		u.evacuated++
+	}
 }
 
 // upstream returns the fact about one upstream. It reports the upstream as drained only
@@ -340,6 +350,8 @@
 		return Fact{Word: Hold, Text: fmt.Sprintf("%s draining %s until %s, counted %d flows and maybe older ones", head, tail, formatTime(u.until), u.flows)}
 	case u.draining:
 		return Fact{Word: Hold, Text: fmt.Sprintf("%s draining %s until %s, counted %d flows", head, tail, formatTime(u.until), u.flows)}
+	case u.evacuated > 0:
+		return d.evacuatedUpstream(head, tail, u)
 	case u.healthy == 0:
 		return Fact{Word: Call, Text: head + " failing " + tail + ", no VM got an answer to its last openings"}
 	}
--- a/internal/route/sparcookie/evacuate_test.go
+++ b/internal/route/sparcookie/evacuate_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// TestEvacuatedFlowsAreCounted counts the open flows that are left, for the operator.
+func TestEvacuatedFlowsAreCounted(t *testing.T) {
+	f := newFixture(t)
+	clients := []*client{f.newClient(bookingAddr), f.newClient(bookingAddr), f.newClient(bookingAddr)}
+	for _, c := range clients {
+		c.open()
+		c.ackHandshake()
+	}
+	if got := f.engine.EvacuatedFlows("north"); got != 0 {
+		t.Errorf("%d flows counted without an evacuation", got)
+	}
+	f.evacuate("north")
+	if got, other := f.engine.EvacuatedFlows("north"), f.engine.EvacuatedFlows("south"); got != len(clients) || other != 0 {
+		t.Errorf("%d and %d flows counted, want %d and 0", got, other, len(clients))
+	}
+	end := clients[0].s
+	end.Kind = sparcookie.FIN
+	f.forward(end)
+	if got := f.engine.EvacuatedFlows("north"); got != len(clients)-1 {
+		t.Errorf("%d flows counted after one has ended", got)
+	}
+}
+
 // TestRetransmittedSYNLeavesEvacuatedDomain covers an evacuation between a SYN and its copy. A
 // copy would open the flow after the evacuation has come into force.
 func TestRetransmittedSYNLeavesEvacuatedDomain(t *testing.T) {
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -37,8 +37,9 @@
 	// follows.
 	EvacuationPrefix = "evacuation/"
 
-	// maxCause is the number of bytes of the cause of a problem, which may repeat the entry.
-	maxCause = 300
+	// maxText is the number of bytes of the key and of the cause of a problem, which may repeat
+	// the entry.
+	maxText = 300
 
 	// DefaultIdle is the idle timeout of flows if the routing sets none.
 	DefaultIdle = 15 * time.Second
@@ -205,10 +206,15 @@
 }
 
 func (r *Roster) addProblem(key string, at sparregistry.Position, cause string) {
-	if len(cause) > maxCause {
-		cause = strings.ToValidUTF8(cause[:maxCause], "") + "..."
+	r.Problems = append(r.Problems, Problem{Key: shorten(key), At: at, Cause: shorten(cause)})
+}
+
+// shorten returns text of other writers cut to a length that logs and status lines can hold.
+func shorten(text string) string {
+	if len(text) <= maxText {
+		return text
 	}
-	r.Problems = append(r.Problems, Problem{Key: key, At: at, Cause: cause})
+	return strings.ToValidUTF8(text[:maxText], "") + "..."
 }
 
 // decodeEntry decodes an entry. A panic of the decoder becomes an error of this entry: all VMs
@@ -253,6 +259,15 @@
 // Evacuates reports whether the upstreams of a failure domain take no new flows.
 func (r Roster) Evacuates(domain string) bool { return slices.Contains(r.Evacuated, domain) }
 
+// EvacuatedAt returns the position that asked for the evacuation of a failure domain, or the zero
+// Position if it is not evacuated.
+func (r Roster) EvacuatedAt(domain string) sparregistry.Position {
+	if !r.Evacuates(domain) {
+		return sparregistry.Position{}
+	}
+	return r.decoded[EvacuationPrefix+domain].at
+}
+
 // Service returns what is configured for a service, or the zero Service.
 func (r Routing) Service(name string) Service {
 	for _, s := range r.Services {
--- a/internal/settings/sparroster/roster_test.go
+++ b/internal/settings/sparroster/roster_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
@@ -150,3 +152,33 @@
 		})
 	}
 }
+
+// TestEvacuations covers two evacuations and a key that names no possible domain, of a length that
+// neither a log line nor a status line can hold.
+func TestEvacuations(t *testing.T) {
+	long := strings.Repeat("d", 10_000)
+	decode := func(key string, _ []byte) (sparroster.Fact, error) {
+		domain := strings.TrimPrefix(key, sparroster.EvacuationPrefix)
+		if domain == long {
+			return nil, fmt.Errorf("domain %s", domain)
+		}
+		return sparroster.Evacuation{Domain: domain}, nil
+	}
+	r := sparregistry.Registry{}
+	for i, domain := range []string{"south", long, "north"} {
+		r = r.With(sparregistry.Entry{Key: sparroster.EvacuationPrefix + domain, Era: 2, Revision: uint64(i + 1)})
+	}
+	roster := sparroster.New(r, decode)
+	if !slices.Equal(roster.Evacuated, []string{"north", "south"}) || roster.Evacuates("") || roster.Evacuates("east") {
+		t.Errorf("evacuated %v", roster.Evacuated)
+	}
+	if at := roster.EvacuatedAt("north"); at != (sparregistry.Position{Era: 2, Revision: 3}) {
+		t.Errorf("north evacuated at %v", at)
+	}
+	if at := roster.EvacuatedAt("east"); !at.IsZero() {
+		t.Errorf("east evacuated at %v", at)
+	}
+	if p := roster.Problems; len(p) != 1 || len(p[0].Key) > 400 || len(p[0].Cause) > 400 {
+		t.Errorf("%d problems", len(p))
+	}
+}
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -110,6 +110,7 @@
 		"routes": len(now.Routing.Routes), "upstreams": len(now.Upstreams), "vms": len(now.VMs),
 	}).Info("settings in force")
 	vm.addEvent("in-force", "", from.source, int(now.At.Revision))
+	vm.logEvacuations(before, now, from)
 	known := map[sparroster.Problem]bool{}
 	for _, p := range before.Problems {
 		known[p] = true
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -64,6 +64,7 @@
 	m.count("unread_datagrams", m.unread.Load())
 	m.count("unsent_datagrams", m.unsent.Load())
 	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.queries.Refused())
+	m.publishEvacuations(vm)
 	roster := vm.engine.Roster()
 	m.set.Scope.Gauge("settings_revision").Update(float64(roster.At.Revision))
 	m.set.Scope.Gauge("platform_era").Update(float64(vm.platformAt.Era))
