--- a/internal/operator/sparcli/cli.go
+++ b/internal/operator/sparcli/cli.go
@@ -53,6 +53,7 @@
 		List     *listCommand     `arg:"subcommand:list" help:"list the services of a team"`
 		Remove   *removeCommand   `arg:"subcommand:rm" help:"remove a service"`
 		Drain    *drainCommand    `arg:"subcommand:drain" help:"drain an upstream"`
+		Evacuate *evacuateCommand `arg:"subcommand:evacuate" help:"give the upstreams of a failure domain no new flows"`
 		Status   *statusCommand   `arg:"subcommand:status" help:"say what is true now, one fact a line"`
 		Timeline *timelineCommand `arg:"subcommand:timeline" help:"print the events of all VMs in order"`
 		Explain  *explainCommand  `arg:"subcommand:explain" help:"join the log lines of all VMs that explain a flow"`
--- a/internal/operator/sparstatus/evacuation.go
+++ b/internal/operator/sparstatus/evacuation.go
@@ -81,6 +81,12 @@
 	return Fact{Word: OK, Text: text, Evacuated: domain, Everywhere: sum.at.Revision, Revision: sum.at.Revision}
 }
 
+// evacuationProblem returns the fact about the entry of an evacuation that has a problem. The cause
+// says whether it is in force.
+func evacuationProblem(p *sparcontrol.ProblemFacts) Fact {
+	return Fact{Word: Call, Text: fmt.Sprintf("entry %s revision %d: %s", p.Service, p.Revision, p.Cause)}
+}
+
 // unavailable returns a fact if all upstreams of a service that take flows by their own state are
 // in evacuated failure domains, as every VM has confirmed.
 func (d deriver) unavailable(name string, sums map[sparflow.Endpoint]*upstreamSum) []Fact {
--- a/internal/operator/sparstatus/status.go
+++ b/internal/operator/sparstatus/status.go
@@ -27,6 +27,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
 const (
@@ -226,6 +227,9 @@
 }
 
 func (d deriver) service(name string) []Fact {
+	if strings.HasPrefix(name, sparroster.EvacuationPrefix) {
+		return []Fact{evacuationProblem(d.problem(name))}
+	}
 	var facts []Fact
 	if p := d.problem(name); p != nil {
 		kept := "no revision is in force"
--- a/internal/route/sparroute/settings.go
+++ b/internal/route/sparroute/settings.go
@@ -25,7 +25,7 @@
 		g := e.groups[name]
 		if g == nil {
 			e.create(service)
-		} else if g.service.At != service.At {
+		} else if g.service.At != service.At || !g.service.SameEvacuations(service) {
 			e.update(g, service)
 		}
 	}
--- a/internal/settings/sparconfig/service.go
+++ b/internal/settings/sparconfig/service.go
@@ -7,7 +7,7 @@
 //		"address": "198.51.100.1:443", // what clients connect to
 //		"proto": "tcp",
 //		"upstreams": [
-//			{"at": "10.1.0.1:8080"},
+//			{"at": "10.1.0.1:8080", "domain": "north"},
 //			{"at": "10.1.0.2:8080", "state": "drain", "until": 1790000000},
 //		],
 //		"spread": 0.05, // an upstream may have 5% more flows than the mean
@@ -82,9 +82,10 @@
 
 	// Member is one upstream of a document.
 	Member struct {
-		At    string `json:"at"`
-		State string `json:"state,omitempty"`
-		Until int64  `json:"until,omitempty"` // end of the drain in Unix seconds
+		At     string `json:"at"`
+		Domain string `json:"domain,omitempty"` // failure domain
+		State  string `json:"state,omitempty"`
+		Until  int64  `json:"until,omitempty"` // end of the drain in Unix seconds
 	}
 
 	// Service is the settings of one service, from a valid document.
@@ -103,9 +104,11 @@
 
 	// Upstream is one server of a service.
 	Upstream struct {
-		At       sparflow.Endpoint
-		Draining bool
-		Until    time.Time // end of the drain; zero while serving
+		At        sparflow.Endpoint
+		Domain    string // failure domain, "" if the document names none
+		Draining  bool
+		Until     time.Time // end of the drain; zero while serving
+		Evacuated bool      // its failure domain is evacuated
 	}
 )
 
@@ -237,7 +240,7 @@
 	found := false
 	for i, m := range upstreams {
 		if m.At == at {
-			upstreams[i] = Member{At: at, State: Drain, Until: until.Unix()}
+			upstreams[i] = Member{At: at, Domain: m.Domain, State: Drain, Until: until.Unix()}
 			found = true
 		}
 	}
@@ -255,7 +258,7 @@
 }
 
 // AcceptsFlows reports whether u takes new flows.
-func (u Upstream) AcceptsFlows() bool { return !u.Draining }
+func (u Upstream) AcceptsFlows() bool { return !u.Draining && !u.Evacuated }
 
 // DrainEnded reports whether the drain of u has ended at the wall time now.
 func (u Upstream) DrainEnded(now time.Time) bool {
@@ -276,7 +279,10 @@
 			return nil, errors.Errorf("upstreams[%d].at: %s is used twice in this document", i, at)
 		}
 		seen[at] = true
-		u := Upstream{At: at}
+		u := Upstream{At: at, Domain: m.Domain}
+		if m.Domain != "" && CheckName(m.Domain) != nil {
+			return nil, errors.Annotatef(CheckName(m.Domain), "upstreams[%d].domain", i)
+		}
 		switch m.State {
 		case "", Serve:
 		case Drain:
--- a/internal/settings/sparconfig/snapshot.go
+++ b/internal/settings/sparconfig/snapshot.go
@@ -12,9 +12,10 @@
 type (
 	// Snapshot is the set of services in force. The zero Snapshot has none.
 	Snapshot struct {
-		At       sparregistry.Position
-		Digest   uint64
-		Problems []Problem
+		At          sparregistry.Position
+		Digest      uint64
+		Problems    []Problem
+		Evacuations []Evacuation // in the order of their domains
 
 		services   map[string]*Service
 		byAddress  map[binding]*Service
@@ -42,6 +43,7 @@
 		At: r.Position(), Digest: r.Digest(),
 		services: map[string]*Service{}, byAddress: map[binding]*Service{}, byUpstream: map[binding]*Service{},
 	}
+	next.readEvacuations(r)
 	for _, e := range r.Under(TeamPrefix) {
 		name, ok := ServiceName(e.Key)
 		if !ok {
@@ -59,7 +61,7 @@
 			}
 			next.Problems = append(next.Problems, problem)
 		}
-		next.add(service)
+		next.add(service.withEvacuations(next.Evacuations))
 	}
 	return next
 }
--- a/internal/vm/sparnode/facts.go
+++ b/internal/vm/sparnode/facts.go
@@ -15,7 +15,7 @@
 	facts := &sparcontrol.FactsReply{
 		Vm: sparcontrol.FromVM(n.self), State: string(n.Tracker.State()), Incarnation: n.incarnation,
 		Era: n.inForce.Era, Revision: n.inForce.Revision, Digest: n.snapshot.Digest, View: view.Digest, Settled: view.Settled,
-		Members: uint32(len(view.Members)), Waiting: uint32(waiting),
+		Members: uint32(len(view.Members)), Waiting: uint32(waiting), Evacuations: n.evacuationFacts(),
 	}
 	for name, service := range n.snapshot.Services() {
 		facts.Services = append(facts.Services, n.serviceFacts(name, service))
@@ -35,7 +35,7 @@
 		state := n.Engine.UpstreamState(name, u.At)
 		facts.Upstreams = append(facts.Upstreams, &sparcontrol.UpstreamFacts{
 			At: uint64(u.At), Draining: u.Draining, Gone: u.DrainEnded(n.wall), Until: u.Until.Unix(),
-			Flows: uint32(state.Flows), Healthy: state.Healthy, Unrecorded: state.Unrecorded,
+			Flows: uint32(state.Flows), Healthy: state.Healthy, Unrecorded: state.Unrecorded, Evacuated: u.Evacuated,
 		})
 	}
 	return facts
--- a/internal/vm/sparnode/settings.go
+++ b/internal/vm/sparnode/settings.go
@@ -54,10 +54,12 @@
 		}
 		return
 	}
+	before := n.snapshot
 	n.snapshot = n.snapshot.With(next)
 	n.Engine.Apply(n.snapshot)
 	n.inForce = next.Position()
 	n.addEvent(sparroute.Event{Kind: "in-force", Count: int(n.inForce.Revision)})
+	n.addEvacuationEvents(before, n.snapshot)
 	for _, p := range n.snapshot.Problems {
 		n.addEvent(sparroute.Event{Kind: "settings-refused", Service: p.Service, Subject: p.Cause, Count: int(p.At.Revision)})
 	}
--- a/internal/vm/sparserver/metrics.go
+++ b/internal/vm/sparserver/metrics.go
@@ -98,6 +98,9 @@
 			m.scope.Tagged(tags).Gauge("open_flows").Update(float64(c.Flows))
 		}
 	}
+	domains, flows := s.node.Evacuated()
+	m.scope.Gauge("evacuated_domains").Update(float64(domains))
+	m.scope.Gauge("evacuated_flows").Update(float64(flows))
 	m.scope.Gauge("settings_revision").Update(float64(s.node.Snapshot().At.Revision))
 	m.scope.Gauge("platform_era").Update(float64(s.node.Snapshot().At.Era))
 	m.scope.Gauge("full_rings").Update(float64(s.packets.Refused() + s.sends.Refused() + s.inputs.Refused()))
