--- a/internal/proof/sparsoak/checks.go
+++ b/internal/proof/sparsoak/checks.go
@@ -101,6 +101,7 @@
 	if elapsed := time.Since(since); ok && elapsed > Force && c.testbed.faultLog.stable(v.name, storeParty) {
 		c.addViolation("DRAIN", "%s opened a flow at upstream %x, %v after it began to drain", v.name, s.ID, elapsed.Round(time.Millisecond))
 	}
+	c.checkEvacuated(s, v)
 }
 
 // Ran implements sparfake.Observer.
--- a/internal/proof/sparsoak/restore.go
+++ b/internal/proof/sparsoak/restore.go
@@ -89,6 +89,7 @@
 	wg.Go(func() {
 		time.Sleep(wait)
 		t.publishAgain()
+		t.evacuateAgain()
 	})
 	for _, s := range t.running() {
 		wait := rng.between(0, rewriteTime)
--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -68,17 +68,18 @@
 
 	// Report is the outcome of a run.
 	Report struct {
-		Seed     uint64      `json:"seed"`
-		Requests int         `json:"requests"`
-		Served   int         `json:"served"`
-		Resets   int         `json:"resets"`
-		Timeouts int         `json:"timeouts"`
-		Ran      int         `json:"ran"`
-		Openings int         `json:"openings"`
-		Calls    int         `json:"calls"` // of the VMs to the store
-		Words    int         `json:"words"` // status replies that were checked
-		Faults   []string    `json:"faults"`
-		Broken   []Violation `json:"broken"`
+		Seed      uint64      `json:"seed"`
+		Requests  int         `json:"requests"`
+		Served    int         `json:"served"`
+		Resets    int         `json:"resets"`
+		Timeouts  int         `json:"timeouts"`
+		Ran       int         `json:"ran"`
+		Openings  int         `json:"openings"`
+		Elsewhere int         `json:"elsewhere"` // openings while an evacuation had to be in force
+		Calls     int         `json:"calls"`     // of the VMs to the store
+		Words     int         `json:"words"`     // status replies that were checked
+		Faults    []string    `json:"faults"`
+		Broken    []Violation `json:"broken"`
 	}
 )
 
@@ -110,12 +111,7 @@
 	}
 	wg.Go(func() { t.checkRoutes(ctx) })
 	wg.Go(func() { t.checkStatuses(ctx) })
-	if p.Restores {
-		t.injectWithRestores(ctx)
-	} else {
-		t.injectFaults(ctx)
-		t.endFaults()
-	}
+	t.injectWithEvacuations(ctx)
 	sleep(ctx, recoveryTime)
 	before := t.checker.snapshot()
 	sleep(ctx, measureTime)
@@ -143,8 +139,8 @@
 // Text returns a summary line, followed by one line for each violation.
 func (r Report) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d of %d requests served, %d resets, %d timeouts, %d openings, %d words of status, %d faults, %d broken promises\n",
-		r.Seed, r.Served, r.Requests, r.Resets, r.Timeouts, r.Openings, r.Words, len(r.Faults), len(r.Broken))
+	fmt.Fprintf(&b, "seed %d: %d of %d requests served, %d resets, %d timeouts, %d openings, %d beside an evacuation in force, %d words of status, %d faults, %d broken promises\n",
+		r.Seed, r.Served, r.Requests, r.Resets, r.Timeouts, r.Openings, r.Elsewhere, r.Words, len(r.Faults), len(r.Broken))
 	for _, v := range r.Broken {
 		fmt.Fprintf(&b, "  %7.3f %s: %s\n", v.At, v.Rule, v.Text)
 	}
--- a/internal/proof/sparsoak/status.go
+++ b/internal/proof/sparsoak/status.go
@@ -54,6 +54,7 @@
 	if last := history[len(history)-1].Revision; facts.Revision > last {
 		c.addViolation("STATUS", "%s names revision %d, the store is at %d", v.name, facts.Revision, last)
 	}
+	c.checkEvacuations(v, facts, history)
 	for at, key := range registered {
 		if !reported[at] && !later[key] {
 			c.addViolation("STATUS", "%s leaves upstream %s out at revision %d", v.name, at, facts.Revision)
--- a/internal/proof/sparsoak/testbed.go
+++ b/internal/proof/sparsoak/testbed.go
@@ -53,6 +53,7 @@
 	dataPort    uint16 // of the clients and of the data sockets of the VMs
 	controlPort uint16
 	operator    operator
+	evacuation  evacuation
 
 	mu      sync.Mutex
 	servers map[uint64]*sparfake.Server
--- a/internal/proof/sparsoak/users.go
+++ b/internal/proof/sparsoak/users.go
@@ -152,6 +152,7 @@
 		return
 	}
 	switch {
+	case c.present && errors.Is(err, sparfake.ErrReset) && t.mayRefuse(booking):
 	case c.present && errors.Is(err, sparfake.ErrReset):
 		t.checker.violated("CONFIG", "%s refuses route %s, in force for %v", v.name, at, time.Since(c.at).Round(time.Millisecond))
 	case !c.present && err == nil:
