sparsync, sparconfig: large VMs read, notify and supply first

Cause: VMs differ by 6 in processor share and by 20 in link, but who reads the platform, who stands where in the notification tree, who supplies full copies and who registers others went by hash alone. Change: a capacity class from cores and link, whatever is least, is written into a VM's entry and messages. Precedence and tree go by class, then by weight as before; where classes differ, four VMs of each failure domain come before the next of any, so that the sixteen that retry during an outage are not all of one. A VM of a higher class takes reading back from one of a lower class after two bounds. Referrals go to larger holders more often, to all sometimes. Seeds of the highest class register others. Ruled out: weights in the rendezvous hash (small VMs still read often), large VMs alone (all may be lost). Found: without taking back, a small VM stayed reader for good after the large ones had returned.

--- a/internal/member/sparsync/outage.go
+++ b/internal/member/sparsync/outage.go
@@ -48,7 +48,7 @@
 }
 
 // rank returns the position of this VM in the order of precedence, 0 for the highest.
-func (s *Sync) rank() int { return slices.Index(s.names(0), s.self.Name) }
+func (s *Sync) rank() int { return slices.Index(s.names(precedence), s.self.Name) }
 
 // nextBackoff returns how long to wait before the platform is tried again, and doubles the
 // next delay up to maxBackoff. For synced VMs beyond firstReaders the delay grows with their
--- a/internal/member/sparsync/reader.go
+++ b/internal/member/sparsync/reader.go
@@ -11,6 +11,7 @@
 func (s *Sync) Tick(now time.Duration) []Output {
 	var outs []Output
 	s.notePause(now)
+	s.noteReader(now)
 	if s.start.began == 0 {
 		s.start.began = now
 	}
@@ -29,7 +30,8 @@
 }
 
 // readDue reports whether this VM is to read the platform now. A follower does so only
-// once its settings are old and VMs of higher precedence have had time to take over.
+// once its settings are old and VMs of higher precedence have had time to take over, or to
+// replace a reader of a lower class.
 func (s *Sync) readDue(now time.Duration) bool {
 	if s.reading || now < s.nextRead {
 		return false
@@ -37,7 +39,7 @@
 	if !s.Synced() {
 		return s.startDue(now)
 	}
-	return chart.Has(s.state, readsMark) || s.takeoverDue(now)
+	return chart.Has(s.state, readsMark) || s.takeoverDue(now) || s.reclaimDue(now)
 }
 
 // read requests a read, an incremental one where a full read each time would exceed
@@ -98,7 +100,7 @@
 
 // ReadFailed is called when a read has failed.
 func (s *Sync) ReadFailed(now time.Duration) []Output {
-	s.reading, s.failing = false, true
+	s.reading, s.failing, s.reclaimFrom = false, true, 0
 	s.nextRead = now + s.nextBackoff()
 	s.outages[s.self.Name] = now
 	return s.pullDeferred(now)
@@ -128,7 +130,7 @@
 
 // precedes reports whether VM a has higher precedence than VM b.
 func (s *Sync) precedes(a, b string) bool {
-	names := s.names(0)
+	names := s.names(precedence)
 	first := slices.Index(names, a)
 	return first >= 0 && first < slices.Index(names, b)
 }
@@ -147,7 +149,7 @@
 		return s.querySeeds(now)
 	}
 	var recent, sameDomain, all []*peer
-	for _, name := range s.names(0) {
+	for _, name := range s.names(precedence) {
 		p := s.peers[name]
 		if p == nil {
 			continue
--- a/internal/member/sparsync/register.go
+++ b/internal/member/sparsync/register.go
@@ -20,15 +20,16 @@
 
 // register requests platform entries for VMs that the settings lack. A starting VM queries
 // every seed, so that each seed has it on record; a hash of its name selects the one seed
-// that registers it.
+// that registers it, among the registrars.
 func (s *Sync) register(now time.Duration) []Output {
-	if !s.Synced() || s.failing || s.start.seedCount == 0 || now-max(s.registeredAt, s.start.began) < registerInterval {
+	if !s.Synced() || s.failing || len(s.start.controls) == 0 || now-max(s.registeredAt, s.start.began) < registerInterval {
 		return nil
 	}
 	s.registeredAt = now
+	registrars := s.registrars()
 	var vms []sparconfig.VM
 	for name, p := range s.peers {
-		mine := int(sparrank.Hash(name)%uint64(s.start.seedCount)) == s.start.index
+		mine := registrars[sparrank.Hash(name)%uint64(len(registrars))] == s.start.index
 		if !mine || p.registered || !p.alive(now) || p.vm.Check() != nil || p.requestedAt > 0 && now-p.requestedAt < registerRetry {
 			continue
 		}
@@ -41,3 +42,32 @@
 	slices.SortFunc(vms, func(a, b sparconfig.VM) int { return cmp.Compare(a.Name, b.Name) })
 	return []Output{Register{VMs: vms}}
 }
+
+// registrars returns the indices of the seeds that register other VMs: those of the highest
+// class, or all while the class of any is unknown.
+func (s *Sync) registrars() []int {
+	classes := s.seedClasses()
+	highest := slices.Max(classes)
+	if slices.Min(classes) == 0 {
+		highest = 0
+	}
+	var list []int
+	for i, class := range classes {
+		if class >= highest {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// seedClasses returns the capacity class of each seed, 0 if it is unknown.
+func (s *Sync) seedClasses() []int {
+	classes := make([]int, len(s.start.controls))
+	classes[s.start.index] = s.standing.class
+	for _, p := range s.peers {
+		if i := slices.Index(s.start.controls, p.vm.Control); i >= 0 {
+			classes[i] = p.standing.class
+		}
+	}
+	return classes
+}
--- a/internal/member/sparsync/serve.go
+++ b/internal/member/sparsync/serve.go
@@ -17,6 +17,8 @@
 	// LargePull is the number of bytes, before compression, from which changes are large: the
 	// slowest link carries a few such pulls in a fraction of a second.
 	LargePull = 64_000
+	// maxShareDoublings limits the turns of a holder to 8 times those of another one.
+	maxShareDoublings = 3
 	// maxHolders is the number of peers on record that hold the settings of this VM.
 	maxHolders = 16
 )
@@ -69,33 +71,68 @@
 // atLimit reports whether no more pulls of the same kind may be served now.
 func (s *Sync) atLimit(large bool) bool {
 	if large {
-		return s.serving.large >= maxLargePulls
+		return s.serving.large >= s.largeLimit()
 	}
 	return s.serving.small >= maxSmallPulls
 }
 
+// largeLimit returns the number of large pulls served at a time: fewer where a VM of a higher
+// class can serve them.
+func (s *Sync) largeLimit() int {
+	if s.serving.digest != s.held.Digest {
+		return maxLargePulls
+	}
+	for _, vm := range s.serving.holders {
+		if vm.Class() > s.standing.class && s.standing.class > 0 {
+			return 1
+		}
+	}
+	return maxLargePulls
+}
+
 // holder returns a peer that holds the settings of this VM, in rotation, preferably one in
-// the failure domain of the requester.
+// the failure domain of the requester. The rotation comes to a VM more often the higher its
+// class is, but to all of them, since few VMs could not serve a large fleet.
 func (s *Sync) holder(requester sparconfig.VM) sparconfig.VM {
 	v := &s.serving
 	if v.digest != s.held.Digest {
 		return sparconfig.VM{}
 	}
 	v.next++
-	var found sparconfig.VM
-	for i := range v.holders {
-		vm := v.holders[(i+v.next)%len(v.holders)]
-		if vm.Name == requester.Name {
-			continue
+	var near, others []sparconfig.VM
+	for _, vm := range v.holders {
+		switch {
+		case vm.Name == requester.Name:
+		case vm.Domain == requester.Domain:
+			near = append(near, vm)
+		default:
+			others = append(others, vm)
 		}
-		if vm.Domain == requester.Domain {
+	}
+	if len(near) > 0 {
+		return pick(near, v.next)
+	}
+	return pick(others, v.next)
+}
+
+// pick returns the VM whose turn it is, or the zero VM if there is none. A VM has twice as many
+// turns as one of the class below, up to a limit.
+func pick(vms []sparconfig.VM, turn int) sparconfig.VM {
+	lowest, turns := sparconfig.MaxSize, 0
+	for _, vm := range vms {
+		lowest = min(lowest, vm.Class())
+	}
+	share := func(vm sparconfig.VM) int { return 1 << min(vm.Class()-lowest, maxShareDoublings) }
+	for _, vm := range vms {
+		turns += share(vm)
+	}
+	for _, vm := range vms {
+		if turn%turns < share(vm) {
 			return vm
 		}
-		if found.Name == "" {
-			found = vm
-		}
+		turn = turn%turns - share(vm)
 	}
-	return found
+	return sparconfig.VM{}
 }
 
 // refer replies to a query of a peer that has no settings: with a notification to pull from
--- a/internal/member/sparsync/sim_test.go
+++ b/internal/member/sparsync/sim_test.go
@@ -69,6 +69,10 @@
 	member struct {
 		sim         *sim
 		vm          sparconfig.VM
+		rate        int  // bytes a second of its link, 0 for that of the simulation
+		old         bool // of a build that knows no classes, see sees
+		bytes       int  // sent, read and served
+		notified    int  // notifications sent
 		sync        *sparsync.Sync
 		held        uint64
 		keptSince   time.Duration // when it entered an era that follows another one
@@ -225,14 +229,21 @@
 		case sparsync.Pull:
 			m.pull(out)
 		case sparsync.SendQuery:
-			m.send(out.To, func(to *member) []sparsync.Output { return to.sync.Queried(out.Query, s.now) })
+			m.send(out.To, func(to *member) []sparsync.Output {
+				out.Query.From = to.sees(out.Query.From)
+				return to.sync.Queried(out.Query, s.now)
+			})
 		case sparsync.Notify:
-			m.send(out.To, func(to *member) []sparsync.Output { return to.sync.Notified(out.Notification, s.now) })
+			m.notified++
+			m.send(out.To, func(to *member) []sparsync.Output {
+				out.Notification.From = to.sees(out.Notification.From)
+				return to.sync.Notified(out.Notification, s.now)
+			})
 		case sparsync.Deregister:
 			s.deregistered[out.Name]++
 		case sparsync.Confirm:
 			m.send(out.To, func(to *member) []sparsync.Output {
-				to.sync.Confirmed(m.vm, out.Timing, s.now)
+				to.sync.Confirmed(to.sees(m.vm), out.Timing, s.now)
 				return nil
 			})
 		}
@@ -242,6 +253,7 @@
 func (m *member) send(vm sparconfig.VM, deliver func(to *member) []sparsync.Output) {
 	s := m.sim
 	s.sent[m.vm.Name]++
+	m.bytes += datagram
 	to := s.find(vm)
 	if !s.reachable(m, to) || to.unreachable || s.rng.Float64() < s.loss {
 		return
@@ -257,7 +269,7 @@
 		s.schedule(m, callTime, func() { m.perform(m.sync.ListVMsFailed(s.now)) })
 		return
 	}
-	s.schedule(m, callTime, func() { m.perform(m.sync.VMsListed(s.vmList(), s.now)) })
+	s.schedule(m, callTime, func() { m.perform(m.sync.VMsListed(m.vmList(), s.now)) })
 }
 
 // read reads the platform: fully, or the changes after a position.
@@ -279,8 +291,9 @@
 		if tooLarge {
 			size = read.Limit // more is not read
 		}
-		s.schedule(m, s.readTime(size), func() {
+		s.schedule(m, m.readTime(size), func() {
 			s.read += changeSize
+			m.bytes += changeSize
 			if !after.IsZero() && after.Compare(at(revision)) < 0 {
 				s.calls++
 			}
@@ -289,6 +302,7 @@
 				return
 			}
 			s.read += size
+			m.bytes += size
 			if !after.IsZero() {
 				size = 0
 			}
@@ -308,14 +322,17 @@
 }
 
 // readTime returns how long a read takes.
-func (s *sim) readTime(size int) time.Duration {
+func (m *member) readTime(size int) time.Duration {
+	s := m.sim
 	if !s.slowLinks {
 		return callTime
 	}
 	s.linkFree = max(s.linkFree, s.now) + transferTime(platformRate, size)
-	return max(s.linkFree-s.now, transferTime(s.linkRate, size)) + callTime
+	return max(s.linkFree-s.now, transferTime(m.linkRate(), size)) + callTime
 }
 
+func (m *member) linkRate() int { return cmp.Or(m.rate, m.sim.linkRate) }
+
 // transferTime returns how long it takes to transfer bytes over a link.
 func transferTime(rate, bytes int) time.Duration {
 	return time.Duration(bytes) * time.Second / time.Duration(rate)
@@ -336,9 +353,9 @@
 		if !from.sync.Synced() {
 			return
 		}
-		referral, ok := from.sync.Serve(m.vm, from.large(pull))
+		referral, ok := from.sync.Serve(from.sees(m.vm), from.large(pull))
 		if !ok {
-			s.schedule(m, oneWay, func() { m.perform(m.sync.PullRefused(from.vm, referral, s.now)) })
+			s.schedule(m, oneWay, func() { m.perform(m.sync.PullRefused(m.sees(from.vm), m.sees(referral), s.now)) })
 			return
 		}
 		from.serve(m, pull, began)
@@ -368,27 +385,28 @@
 		s.busiest = max(s.busiest, m.serving)
 	}
 	took := time.Duration(0)
+	size := m.changesAfter(pull.After)
+	if pull.After.IsZero() {
+		size = s.size
+	}
+	m.bytes += size / compression
 	if s.slowLinks {
-		size := m.changesAfter(pull.After)
-		if pull.After.IsZero() {
-			size = s.size
-		}
-		m.linkFree = max(m.linkFree, s.now) + transferTime(s.linkRate, size/compression)
-		took = m.linkFree - s.now
+		m.linkFree = max(m.linkFree, s.now) + transferTime(m.linkRate(), size/compression)
+		took = max(m.linkFree-s.now, transferTime(to.linkRate(), size/compression))
 	}
 	held, age, reader := m.held, m.sync.Age(s.now), m.sync.Reader()
 	s.schedule(m, took, func() {
 		if large {
 			m.serving--
 		}
-		m.sync.Served(to.vm, large, held, true)
+		m.sync.Served(m.sees(to.vm), large, held, true)
 	})
 	for passed := progressTime; passed < took; passed += progressTime {
 		s.schedule(to, passed, func() { to.sync.PullProgressed(s.now) })
 	}
 	s.schedule(to, took+oneWay, func() {
 		to.adopt(held)
-		to.perform(to.sync.Pulled(m.vm, reader, began-age, true, s.now))
+		to.perform(to.sync.Pulled(to.sees(m.vm), reader, began-age, true, s.now))
 	})
 }
 
@@ -415,15 +433,25 @@
 		return // m has this list
 	}
 	m.listVersion = 1 + len(m.sim.deregistered)
-	m.sync.List(m.sim.vmList(), m.sim.now)
+	m.sync.List(m.vmList(), m.sim.now)
 }
 
-func (s *sim) vmList() []sparconfig.VM {
+// vmList returns the registered VMs as m decodes their entries.
+func (m *member) vmList() []sparconfig.VM {
 	var vms []sparconfig.VM
-	for _, other := range s.vms {
-		if s.deregistered[other.vm.Name] == 0 {
+	for _, other := range m.sim.vms {
+		if m.sim.deregistered[other.vm.Name] == 0 && (!m.old || other.vm.Size == 0) {
 			vms = append(vms, other.vm)
 		}
 	}
 	return vms
 }
+
+// sees returns vm as m decodes it from a message. An older build leaves out the class there, and
+// refuses entries that have one.
+func (m *member) sees(vm sparconfig.VM) sparconfig.VM {
+	if m.old {
+		vm.Size = 0
+	}
+	return vm
+}
--- a/internal/member/sparsync/start.go
+++ b/internal/member/sparsync/start.go
@@ -46,7 +46,7 @@
 type start struct {
 	seed      bool          // reads the platform at once
 	index     int           // of this VM among the seeds, -1 if it is none
-	seedCount int           // number of seeds, 0 if this VM is none
+	controls  []string      // of the seeds, none if this VM is none
 	began     time.Duration // time of the first Tick
 	lastReply time.Duration // when a peer last showed that it is up
 	listing   listing
@@ -65,9 +65,9 @@
 		}
 	}
 	s.start.index = slices.Index(controls, s.self.Control)
-	s.start.seedCount = 0
+	s.start.controls = nil
 	if s.start.index >= 0 {
-		s.start.seedCount = len(controls)
+		s.start.controls = controls
 	}
 	s.start.seed = len(controls) == 0 || s.start.index >= 0
 }
@@ -127,7 +127,7 @@
 		return nil // the settings contain the same list
 	}
 	s.List(vms, now)
-	names := s.names(0)
+	names := s.names(precedence)
 	first := s.peers[names[s.rank()%min(startReaders, len(names))]]
 	if first == nil {
 		return nil
--- a/internal/member/sparsync/sync.go
+++ b/internal/member/sparsync/sync.go
@@ -4,7 +4,7 @@
 // Each VM tracks the time as of which its settings are fresh: the start of its own
 // read, or the age in a notification, which VMs forward along a tree. A VM whose
 // settings are old queries peers, then reads the platform itself. Such takeovers are
-// staggered by precedence, an order of the names of VMs by rendezvous hashing.
+// staggered by precedence, an order of the VMs by capacity class, then by rendezvous hashing.
 //
 // A Sync does no I/O and reads no clock. The clock passed to it must keep running
 // while the VM is suspended, so that the settings age meanwhile:
@@ -85,6 +85,7 @@
 		freshAt     time.Duration // when the settings were last known to be complete, 0 before the first
 		peers       map[string]*peer
 		seeds       []*peer
+		standing    standing         // of this VM, as listed
 		orders      map[int][]string // cached results of names, by slot
 
 		source       readRound     // of the read that freshAt stems from
@@ -96,6 +97,7 @@
 		largeAt      time.Duration // when changes were last above their limit
 		backoff      time.Duration
 		failing      bool
+		reclaimFrom  time.Duration            // since when the reader is of a lower class, or 0
 		recoveredAt  time.Duration            // when the platform answered again after a failure
 		restoredAt   time.Duration            // when a later era of the platform was first seen
 		outages      map[string]time.Duration // when the platform failed to answer a VM
@@ -128,7 +130,7 @@
 // platform at intervals of beat.
 func New(self sparconfig.VM, incarnation uint32, bound, beat time.Duration) *Sync {
 	return &Sync{
-		self: self, incarnation: incarnation, bound: bound, beat: beat, state: chart.Start(), backoff: minBackoff, start: start{seed: true},
+		self: self, incarnation: incarnation, bound: bound, beat: beat, state: chart.Start(), backoff: minBackoff, start: start{seed: true}, standing: standingOf(self),
 		peers: map[string]*peer{}, orders: map[int][]string{}, outages: map[string]time.Duration{},
 	}
 }
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -188,7 +188,7 @@
 
 // VM returns the entry of the VM in the list on the platform.
 func (f File) VM() VM {
-	return VM{Name: f.Name, Domain: f.Domain, Data: f.Data, Control: f.Control, State: Live}
+	return VM{Name: f.Name, Domain: f.Domain, Data: f.Data, Control: f.Control, State: Live, Size: f.class()}
 }
 
 func (f File) withDefaults() File {
