sparcookie, sparhedge, sparentry: openings without an answer are hedged

Change: on routes whose requests may be repeated, a SYN without an answer for longer than a high quantile of the opening times goes to a second upstream as well; the client takes whichever answers first. The setting hedge, off by default, is the share of openings; the limit holds at any moment. None while slots are short, to unfit upstreams, or beside a client's copy. A lost race is no evidence by itself; an upstream with an opening due is passed over for 0.3 s or until it answers, and two lost races in a row eject it. Ruled out: no evidence from lost races at all.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -54,6 +54,7 @@
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
+		hedges    *hedging // nil if no openings are hedged
 		events    []Event
 		stats     Stats
 	}
@@ -90,6 +91,8 @@
 		unansweredFlows int           // flows with an unanswered retransmission since lastResponse
 		health          sparhealth.Health
 		lastSYN         time.Duration
+		races           lostRaces
+		avoidedAt       time.Duration // when an opening at it was last due for a hedge
 	}
 )
 
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -38,6 +38,7 @@
 		relayCopies  int           // packets also sent through another VM
 		opened       bool
 		closed       bool
+		hedge        hedgeState
 	}
 
 	// observation is what one packet of a client shows.
@@ -65,6 +66,7 @@
 		f.opened = true
 		f.ack, f.nextSeq = s.Ack, s.Seq
 		obs = observation{answered: true, first: true, waited: e.now - f.began}
+		e.noteOpening(obs.waited)
 		e.noteProgress(f)
 	}
 	if seqAfter(s.Ack, f.ack) {
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -54,7 +54,7 @@
 		return e.reset(NoUpstream, nil)
 	}
 	e.recordSYN(key, u, e.now)
-	return e.send(Placed, u)
+	return e.awaitAnswer(rec, key, s, e.send(Placed, u))
 }
 
 // recordSYN records a SYN sent to u. began is the time of the first SYN of the flow.
@@ -73,6 +73,7 @@
 func (e *Engine) forwardRetransmittedSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	f.lastSeen = e.now
+	e.noteCopy(f)
 	if u.evacuated {
 		return e.moveSYN(rec, key, f)
 	}
@@ -115,6 +116,7 @@
 	if !e.mayServe(rec, u) {
 		return e.drop(WrongService)
 	}
+	e.settleRace(f, u)
 	if f == nil || f.upstream != u {
 		e.forget(key)
 		f = &flow{upstream: u, opened: true, began: e.now, lastProgress: e.now, lastSeen: e.now, ack: s.Ack, nextSeq: s.Seq}
--- /dev/null
+++ b/internal/route/sparcookie/hedge_test.go
@@ -0,0 +1,373 @@
+package sparcookie_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+const (
+	hedgeShare = 0.1
+	hedgeDelay = 40 * time.Millisecond // more than openings of rtt lead to, less than shows silence
+)
+
+// newHedgingFixture returns a fixture that hedges the openings of bookingAddr, which may be
+// repeated, and has seen enough openings of rtt for that.
+func newHedgingFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.routes[0].Repeatable = true
+	f.apply()
+	f.engine.SetHedge(hedgeShare)
+	f.openQuickly(60)
+	f.wait(hedgeDelay)
+	f.engine.DueHedges()
+	return f
+}
+
+// openQuickly opens flows one after the other, each within rtt.
+func (f *fixture) openQuickly(n int) {
+	for range n {
+		c := f.newClient(bookingAddr)
+		c.open()
+		c.ackHandshake()
+	}
+}
+
+// hedgeOf sends the SYN of a flow to an upstream that does not answer within hedgeDelay, and returns
+// the hedge of it.
+func (f *fixture) hedgeOf(c *client) sparcookie.Hedge {
+	f.t.Helper()
+	first := c.open()
+	wantVerdict(f.t, first, sparcookie.ToUpstream, sparcookie.Placed)
+	f.wait(hedgeDelay)
+	due := f.engine.DueHedges()
+	if len(due) != 1 {
+		f.t.Fatalf("%d hedges, want 1; %+v", len(due), f.engine.HedgeStats())
+	}
+	h := due[0]
+	if h.First.ID != first.ID || h.ID == first.ID || h.Cookie == first.Cookie || h.Slot != first.Awaits-1 || h.From != c.s.From || h.To != c.s.To {
+		f.t.Fatalf("hedge %+v of %+v", h, first)
+	}
+	wantVerdict(f.t, h.Verdict, sparcookie.ToUpstream, sparcookie.Hedged)
+	return h
+}
+
+// takes makes c take the SYN-ACK of the upstream with the cookie and forwards its next packet.
+func (c *client) takes(cookie sparcookie.Cookie) sparcookie.Verdict {
+	c.s.Cookie = cookie
+	return c.ackHandshake()
+}
+
+// TestHedgeWins: the second upstream answers first. The flow stays there, the answer counts with
+// the time since the first SYN, and the first upstream is not blamed.
+func TestHedgeWins(t *testing.T) {
+	f := newHedgingFixture(t)
+	c := f.newClient(bookingAddr)
+	h := f.hedgeOf(c)
+	v := c.takes(h.Cookie)
+	if wantVerdict(t, v, sparcookie.ToUpstream, sparcookie.Carried); v.ID != h.ID || !v.First || v.Waited != hedgeDelay+rtt {
+		t.Errorf("verdict %+v, want the first answer of %d after %v", v, h.ID, hedgeDelay+rtt)
+	}
+	if v := c.request(); v.ID != h.ID {
+		t.Errorf("request sent to %d, want %d", v.ID, h.ID)
+	}
+	f.wait(time.Second)
+	f.openQuickly(1)
+	f.wantHealthy(5)
+	if got := f.engine.HedgeStats(); got.Sent != 1 || got.Won != 1 {
+		t.Errorf("%+v, want one hedge that has won", got)
+	}
+}
+
+// TestHedgeLoses: the first upstream answers after all. The flow stays there, and the second one,
+// whose SYN-ACK the client drops, is not blamed.
+func TestHedgeLoses(t *testing.T) {
+	f := newHedgingFixture(t)
+	c := f.newClient(bookingAddr)
+	first := c.open()
+	f.wait(hedgeDelay)
+	if due := f.engine.DueHedges(); len(due) != 1 {
+		t.Fatalf("%d hedges, want 1", len(due))
+	}
+	if v := c.takes(first.Cookie); v.ID != first.ID || !v.First {
+		t.Errorf("verdict %+v, want the first answer of %d", v, first.ID)
+	}
+	f.wait(time.Second)
+	f.openQuickly(1)
+	f.wantHealthy(5)
+	if got := f.engine.HedgeStats(); got.Sent != 1 || got.Won != 0 {
+		t.Errorf("%+v, want one hedge that has lost", got)
+	}
+}
+
+// wantHealthy fails unless n upstreams of booking accept flows.
+func (f *fixture) wantHealthy(n int) {
+	f.t.Helper()
+	healthy := 0
+	for _, s := range f.engine.UpstreamStates() {
+		if s.Upstream.Service == booking && s.Healthy {
+			healthy++
+		}
+	}
+	if healthy != n {
+		f.t.Errorf("%d upstreams accept flows, want %d", healthy, n)
+	}
+}
+
+// TestSilentUpstreamIsNoticed: an upstream loses each race since it is down. It must still be
+// ejected, after two, so that hedges do not hide it.
+func TestSilentUpstreamIsNoticed(t *testing.T) {
+	f := newHedgingFixture(t)
+	silent, openings := uint64(0), 0
+	for range 60 {
+		c := f.newClient(bookingAddr)
+		v := c.open()
+		if silent == 0 {
+			silent = v.ID
+		}
+		if v.ID != silent {
+			c.ackHandshake()
+			continue
+		}
+		openings++
+		f.wait(hedgeDelay)
+		due := f.engine.DueHedges()
+		if len(due) == 0 {
+			t.Fatalf("opening %d at the silent upstream is not hedged: %+v", openings, f.engine.HedgeStats())
+		}
+		c.takes(due[0].Cookie)
+	}
+	if openings != 2 {
+		t.Errorf("%d openings at a silent upstream, want 2", openings)
+	}
+	f.wantHealthy(4)
+}
+
+// TestSlowUpstreamIsKept: an upstream loses a race now and then but answers other clients between.
+func TestSlowUpstreamIsKept(t *testing.T) {
+	f := newHedgingFixture(t)
+	for range 10 {
+		c := f.newClient(bookingAddr)
+		c.takes(f.hedgeOf(c).Cookie)
+		f.openQuickly(30)
+	}
+	f.wantHealthy(5)
+}
+
+// TestOnlyRepeatableRoutesAreHedged: a request that may not run twice is never hedged, also after
+// its route has changed while it waits.
+func TestOnlyRepeatableRoutesAreHedged(t *testing.T) {
+	f := newHedgingFixture(t)
+	for range 50 {
+		if v := f.newClient(bookingAddr2).open(); v.Awaits != 0 {
+			t.Fatal("an opening of another route waits for a hedge")
+		}
+		f.wait(hedgeDelay)
+		if due := f.engine.DueHedges(); len(due) > 0 {
+			t.Fatalf("hedges %+v", due)
+		}
+	}
+	if v := f.newClient(bookingAddr).open(); v.Awaits == 0 {
+		t.Fatal("an opening that may be repeated does not wait")
+	}
+	f.routes[0].Repeatable = false
+	f.apply()
+	f.wait(hedgeDelay)
+	if due := f.engine.DueHedges(); len(due) > 0 {
+		t.Errorf("hedges %+v after the change of the route", due)
+	}
+}
+
+// TestHedgesStayWithinTheirShare: every upstream is slow, or all are silent, at any rate of
+// openings. No more than the share set may be sent twice.
+func TestHedgesStayWithinTheirShare(t *testing.T) {
+	for _, gap := range []time.Duration{100 * time.Microsecond, time.Millisecond, 10 * time.Millisecond} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("an opening each %v, silent %v", gap, silent), func(t *testing.T) {
+				f := newHedgingFixture(t)
+				openings, hedges := 60, 0
+				for range 3000 {
+					c := f.newClient(bookingAddr)
+					c.open()
+					openings++
+					f.wait(gap)
+					hedges += len(f.engine.DueHedges())
+					if !silent && openings%3 > 0 {
+						c.ackHandshake()
+					}
+					if float64(hedges) > hedgeShare*float64(openings) {
+						t.Fatalf("%d hedges of %d openings", hedges, openings)
+					}
+				}
+				if got := f.engine.HedgeStats(); int(got.Sent) != hedges || got.Sent+got.Denied[sparcookie.HedgeOverBudget]+got.Denied[sparcookie.HedgeNowhere] == 0 {
+					t.Errorf("%+v, sent %d", got, hedges)
+				}
+			})
+		}
+	}
+}
+
+// TestCopyTakesThePlaceOfAHedge: the client sends its SYN again before the hedge is due, as if this
+// VM had been paused. Then nothing is sent beside the copy.
+func TestCopyTakesThePlaceOfAHedge(t *testing.T) {
+	f := newHedgingFixture(t)
+	for _, after := range []time.Duration{rtt, retransmitAfter} {
+		c := f.newClient(bookingAddr)
+		c.open()
+		f.wait(after)
+		c.open()
+		f.wait(hedgeDelay)
+		if due := f.engine.DueHedges(); len(due) > 0 {
+			t.Errorf("hedges %+v beside a copy after %v", due, after)
+		}
+	}
+	c := f.newClient(bookingAddr)
+	c.open()
+	f.wait(retransmitAfter)
+	if due := f.engine.DueHedges(); len(due) > 0 {
+		t.Errorf("hedges %+v where the copy is about to come", due)
+	}
+}
+
+// TestCopyAfterAHedge: neither upstream has answered, so the copy goes to a third one, and both count as
+// silent, each once.
+func TestCopyAfterAHedge(t *testing.T) {
+	f := newHedgingFixture(t)
+	c := f.newClient(bookingAddr)
+	h := f.hedgeOf(c)
+	first := c.upstream
+	f.wait(retransmitAfter - hedgeDelay)
+	v := c.open()
+	wantVerdict(t, v, sparcookie.ToUpstream, sparcookie.Moved)
+	if v.ID == first || v.ID == h.ID {
+		t.Errorf("copy sent to %d after %d and %d", v.ID, first, h.ID)
+	}
+	c.ackHandshake()
+	f.wantHealthy(3)
+	f.openQuickly(20)
+	f.wantHealthy(3)
+}
+
+// TestAllUpstreamsSilent: nobody answers any more. Clients are sent on, within the limit, and no
+// flow is refused.
+func TestAllUpstreamsSilent(t *testing.T) {
+	f := newHedgingFixture(t)
+	for range 30 {
+		c := f.newClient(bookingAddr)
+		wantVerdict(t, c.open(), sparcookie.ToUpstream, sparcookie.Placed)
+		f.wait(hedgeDelay)
+		f.engine.DueHedges()
+		f.wait(retransmitAfter - hedgeDelay)
+		if v := c.open(); v.Action != sparcookie.ToUpstream {
+			t.Fatalf("%v of a copy", v.Cause)
+		}
+	}
+}
+
+// TestDomainOfHedges: a hedge stays in the domain of the first upstream, unless half of the domain's
+// upstreams are silent, which may be the domain's fault.
+func TestDomainOfHedges(t *testing.T) {
+	f := newHedgingFixture(t)
+	if h := f.hedgeOf(f.newClient(bookingAddr)); f.domainOf(h.ID) != "north" {
+		t.Errorf("hedge of a healthy domain goes to %d", h.ID)
+	}
+	f.upstreams = append(f.upstreams, newUpstream(6, "north"), newUpstream(7, "north"))
+	f.apply()
+	for range 60 {
+		c := f.newClient(bookingAddr2)
+		if v := c.open(); v.ID == 3 || v.ID == 7 {
+			c.ackHandshake()
+			continue
+		}
+		f.wait(2 * hedgeDelay)
+	}
+	f.wantHealthy(4)
+	c := f.newClient(bookingAddr)
+	if h := f.hedgeOf(c); f.domainOf(c.upstream) != "north" || f.domainOf(h.ID) != "south" {
+		t.Errorf("hedge of an opening at %d goes to %d, want another domain", c.upstream, h.ID)
+	}
+}
+
+// TestUnfitUpstreamsGetNoHedges: upstreams that warm up, drain or are evacuated get none.
+func TestUnfitUpstreamsGetNoHedges(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(f *fixture, u *sparroster.Upstream)
+	}{
+		{"warming", func(_ *fixture, u *sparroster.Upstream) { u.Warm = time.Hour }},
+		{"draining", func(_ *fixture, u *sparroster.Upstream) { u.Draining = true }},
+		{"evacuated", func(f *fixture, u *sparroster.Upstream) { u.Domain = "east"; f.evacuated = []string{"east"} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newHedgingFixture(t)
+			cl := f.newClient(bookingAddr)
+			first := cl.open()
+			for id := range uint64(5) {
+				if id+1 != first.ID {
+					f.edit(id+1, func(u *sparroster.Upstream) { c.change(f, u) })
+				}
+			}
+			f.wait(hedgeDelay)
+			if due := f.engine.DueHedges(); len(due) > 0 {
+				t.Errorf("hedges %+v", due)
+			}
+			if got := f.engine.HedgeStats(); got.Denied[sparcookie.HedgeNowhere] != 1 {
+				t.Errorf("%+v, want one denied", got)
+			}
+		})
+	}
+}
+
+// TestNoHedgesWhileSlotsAreShort: requests take more than the part of the slots from which nothing
+// more is sent than clients ask for, as in the busiest minutes. Hedges come back afterwards.
+func TestNoHedgesWhileSlotsAreShort(t *testing.T) {
+	f := newHedgingFixture(t)
+	for range 120 {
+		c := f.newClient(bookingAddr)
+		c.open()
+		c.ackHandshake()
+		c.request()
+		f.wait(time.Millisecond)
+		c.ackResponse()
+	}
+	f.newClient(bookingAddr).open()
+	f.wait(hedgeDelay)
+	if due := f.engine.DueHedges(); len(due) > 0 {
+		t.Errorf("hedges %+v", due)
+	}
+	if got := f.engine.HedgeStats(); got.Denied[sparcookie.HedgeShort] != 1 {
+		t.Errorf("%+v, want one denied", got)
+	}
+	f.wait(5 * time.Second)
+	f.openQuickly(10)
+	f.hedgeOf(f.newClient(bookingAddr))
+}
+
+// TestHedgesOff: without the setting nothing waits.
+func TestHedgesOff(t *testing.T) {
+	f := newHedgingFixture(t)
+	f.engine.SetHedge(0)
+	if v := f.newClient(bookingAddr).open(); v.Awaits != 0 {
+		t.Error("an opening waits")
+	}
+	f.wait(hedgeDelay)
+	if _, ok := f.engine.NextHedge(); ok || len(f.engine.DueHedges()) > 0 {
+		t.Error("a hedge is due")
+	}
+}
+
+// TestWaitingOpeningsAreBounded: more openings wait than there are slots.
+func TestWaitingOpeningsAreBounded(t *testing.T) {
+	f := newHedgingFixture(t)
+	for range sparcookie.HedgeSlots + 10 {
+		if v := f.newClient(bookingAddr).open(); v.Awaits > sparcookie.HedgeSlots {
+			t.Fatalf("slot %d", v.Awaits)
+		}
+	}
+	if got := f.engine.HedgeStats(); got.Denied[sparcookie.HedgeFull] != 10 {
+		t.Errorf("%+v, want ten denied", got)
+	}
+}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -133,7 +133,7 @@
 	switch {
 	case !e.takesFlows(u):
 		return tierNone
-	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
+	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval, e.avoided(u):
 		return tierUnhealthy
 	case u.Domain == e.domain:
 		return tierLocal
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -42,6 +42,7 @@
 	Assisted                   // a packet of an open flow, also sent through another VM
 	Relayed                    // a packet received from another VM
 	NotFresh                   // the settings are too old to refuse a flow
+	Hedged                     // a SYN without an answer, also sent to a second upstream
 	causeCount
 )
 
@@ -82,6 +83,7 @@
 		Unanswered bool          // the packet retransmits data of an unanswered request
 		Abandoned  bool          // the client abandons an unanswered request
 		Waited     time.Duration // since the first packet of the request, or the first SYN
+		Awaits     int           // 1 more than the slot in which its SYN waits for an answer, or 0
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
@@ -128,7 +130,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged",
 }
 
 // String returns the cause as written in logs and metrics.
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -137,6 +137,7 @@
 		platformAt   sparregistry.Position // of the last read of this VM
 		age          time.Duration         // of the settings, at the last tick or datagram
 		leave        sparleave.Leave
+		hedges       *hedger // nil if openings are not hedged
 	}
 )
 
@@ -159,12 +160,13 @@
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), rand.Uint32(), carrier.Bound(), carrier.Beat), carrier: carrier,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
-		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
+		reachable: true, left: make(chan struct{}), drained: make(chan struct{}), hedges: newHedger(carrier.Hedge),
 	}
 	vm.buffers.New = func() any { return new(packet) }
 	if vm.clock, err = newClock(); err != nil {
 		return nil, err
 	}
+	vm.engine.SetHedge(carrier.Hedge)
 	vm.sync.Seeds(file.Seeds)
 	vm.port = netip.MustParseAddrPort(file.Data).Port()
 	return vm, vm.open()
@@ -239,6 +241,8 @@
 				vm.tick() // settings have aged while this VM was paused
 			}
 			vm.forward(p)
+		case <-vm.hedges.due():
+			vm.sendHedges()
 		case in := <-vm.inputs.Out():
 			vm.dispatch(in)
 		case query := <-vm.queries.Out():
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -305,6 +305,7 @@
 	vm.log.WithFields(logrus.Fields{
 		"data": vm.file.Data, "control": vm.file.Control, "ready": vm.carrier.Ready, "platform": vm.file.Platform,
 		"domain": vm.file.Domain, "force_ms": vm.carrier.Force.Milliseconds(), "grace_s": vm.carrier.Grace.Seconds(),
+		"class": vm.file.VM().Size, "hedge": vm.carrier.Hedge,
 	}).Info("start")
 	vm.addEvent("started", "", "", 0)
 }
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -83,6 +83,7 @@
 	}
 	vm.engine.Advance(time.Since(vm.began))
 	v := vm.engine.Forward(s)
+	vm.holdSYN(p, v)
 	switch v.Action {
 	case sparcookie.ToUpstream:
 		if v.Relay != 0 {
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -36,6 +36,7 @@
 		upstream *net.UDPConn
 		key      string                                // of the upstream's entry in the platform
 		grace    sparconfig.Figure                     // seconds; for VMs started later
+		hedge    sparconfig.Figure                     // share of openings; for VMs started later
 		wrap     func(sparentry.Store) sparentry.Store // for VMs started later, nil for none
 	}
 
@@ -112,14 +113,22 @@
 	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: serviceAddr, Service: "booking"}}))
 }
 
-// addr returns a loopback address with a port that is free for TCP and most likely for UDP.
+// addr returns a loopback address with a port that is free for TCP and for UDP.
 func addr(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := l.Addr().String()
+		udp, err := net.ListenPacket("udp4", at)
+		_ = l.Close()
+		if err != nil {
+			continue // taken for UDP
+		}
+		_ = udp.Close()
+		return at
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // start runs a VM with a free control address until the test ends.
@@ -130,6 +139,7 @@
 	file := sparconfig.File{
 		Carrier: sparconfig.Cookie, Name: name, Domain: "north", Data: addr(s.t), Control: control, Ready: addr(s.t),
 		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: s.grace,
+		Hedge: s.hedge,
 	}
 	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &logBuffer{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
 	client := sparentry.Store(v.store)
