sparquota: parts of warm-up limits by rank, with fresh settings as the lease

Cause: a warming upstream got as many openings as all VMs happened to choose; nothing bounded the sum. Ruled out: equal shares (no whole opening for any of 64 VMs), grants and leases in the platform.

--- /dev/null
+++ b/internal/route/sparquota/lease.go
@@ -0,0 +1,115 @@
+package sparquota
+
+import (
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+)
+
+// clockMargin covers clocks of VMs that differ in rate.
+const clockMargin = 250 * time.Millisecond
+
+type (
+	// Member is a VM as the settings list it.
+	Member struct {
+		Name   string
+		Domain string
+	}
+
+	// Entry is where this VM stands in the settings. Any change of it starts the wait anew.
+	Entry struct {
+		Listed bool
+		At     sparregistry.Position // that wrote the entry last
+		Era    uint64                // of the platform
+	}
+
+	// Lease tells whether this VM may use its part of the limits, and how it ranks. Create it
+	// with NewLease.
+	Lease struct {
+		name   string
+		maxAge time.Duration
+		wait   time.Duration
+		until  time.Duration // end of the freshness of the settings
+		since  time.Duration // from when on the settings were fresh and the entry the same
+		entry  Entry
+		domain string // of this VM, as listed
+		listed map[Member]rankedMember
+	}
+
+	// rankedMember is a VM that is listed, or was within the wait.
+	rankedMember struct {
+		hash uint64
+		now  bool          // listed now
+		left time.Duration // when it was removed
+	}
+)
+
+// NewLease returns the lease of the VM called name. maxAge is the age up to which settings are
+// fresh, the same on all VMs.
+func NewLease(name string, maxAge time.Duration) *Lease {
+	return &Lease{name: name, maxAge: maxAge, wait: Wait(maxAge), listed: map[Member]rankedMember{}}
+}
+
+// Wait returns how long a VM must have been listed, with fresh settings, before it acts.
+func Wait(maxAge time.Duration) time.Duration { return 2*maxAge + span + clockMargin }
+
+// Renew sets the age that the settings had at the time now.
+func (l *Lease) Renew(now, age time.Duration) {
+	if now >= l.until {
+		l.since = now
+	}
+	l.until = now - age + l.maxAge
+}
+
+// List replaces the VMs in the settings and the entry of this VM.
+func (l *Lease) List(now time.Duration, members []Member, entry Entry) {
+	if entry != l.entry {
+		l.entry, l.since = entry, now
+	}
+	for m, r := range l.listed {
+		if r.now {
+			r.now, r.left = false, now
+			l.listed[m] = r
+		}
+	}
+	for _, m := range members {
+		l.listed[m] = rankedMember{hash: sparrank.Hash(m.Name), now: true}
+		if m.Name == l.name {
+			l.domain = m.Domain
+		}
+	}
+	l.Expire(now)
+}
+
+// Expire forgets the VMs that were removed longer ago than the wait. It reports whether there
+// were any.
+func (l *Lease) Expire(now time.Duration) (changed bool) {
+	for m, r := range l.listed {
+		if !r.now && now-r.left > l.wait {
+			delete(l.listed, m)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Active reports whether this VM may use its part of the limits.
+func (l *Lease) Active(now time.Duration) bool {
+	return l.entry.Listed && now < l.until && now-l.since > l.wait
+}
+
+// Rank returns the number of VMs that rank before this one for an upstream.
+func (l *Lease) Rank(id uint64, domain string) (rank int) {
+	own := sparrank.Weight(int(id), sparrank.Hash(l.name))
+	near := l.domain == domain
+	for m, r := range l.listed {
+		if m.Name == l.name || near && m.Domain != domain {
+			continue
+		}
+		if !near && m.Domain == domain || sparrank.Weight(int(id), r.hash) >= own {
+			rank++
+		}
+	}
+	return rank
+}
