sparcookie, sparentry: warming upstreams take no more than their limit

Change: placement passes over upstreams that warm up and have no quota here; each SYN to them and each request seen on open flows counts. Where nothing else is left, an opening is refused at once (cause warm-limit); a copy of a SYN moves or is dropped. An upstream that answers again after an ejection may have restarted: non-holders use it last until the settings of after that are here.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -56,6 +56,7 @@
 		lastSweep time.Duration
 		events    []Event
 		stats     Stats
+		warm      warmLimits
 	}
 
 	// routeRecord is the route of an address, with the services that it named earlier.
@@ -90,6 +91,7 @@
 		unansweredFlows int           // flows with an unanswered retransmission since lastResponse
 		health          sparhealth.Health
 		lastSYN         time.Duration
+		quota           *warmQuota // nil if its service has no warm rate
 	}
 )
 
@@ -119,6 +121,7 @@
 	e.applyUpstreams(r)
 	e.assignCookies()
 	e.applyVMs(r.VMs)
+	e.applyWarm(r)
 }
 
 func (e *Engine) applyRoutes(r sparroster.Roster) {
@@ -203,6 +206,7 @@
 	u := &upstream{Upstream: entry}
 	if prev != nil {
 		u.cookie = prev.cookie
+		u.quota = prev.quota // its openings of the last second still count
 		for key, f := range e.flows {
 			if f.upstream == prev {
 				delete(e.flows, key)
@@ -223,6 +227,7 @@
 			e.emitHealth(u, true)
 		}
 	}
+	e.tickWarm()
 	if e.now-e.lastSweep < sweepInterval {
 		return
 	}
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -37,6 +37,7 @@
 		ack          uint32        // highest acknowledgement seen
 		relayCopies  int           // packets also sent through another VM
 		opened       bool
+		prepaid      bool // its next request has counted as its opening
 		closed       bool
 	}
 
@@ -97,6 +98,7 @@
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
+		e.countRequest(f)
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
 	}
@@ -122,7 +124,7 @@
 	f.lastProgress = e.now
 	u := f.upstream
 	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
-	e.emitHealth(u, u.health.Answered(e.now))
+	e.noteBack(u, u.health.Answered(e.now))
 }
 
 // noteUnanswered records that u has not answered a packet of f and no other client has
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -51,7 +51,7 @@
 	}
 	u := e.choose(rec, key, nil)
 	if u == nil {
-		return e.reset(NoUpstream, nil)
+		return e.refuseSYN(rec)
 	}
 	e.recordSYN(key, u, e.now)
 	return e.send(Placed, u)
@@ -60,7 +60,9 @@
 // recordSYN records a SYN sent to u. began is the time of the first SYN of the flow.
 func (e *Engine) recordSYN(key flowKey, u *upstream, began time.Duration) {
 	e.forget(key)
-	e.record(key, &flow{upstream: u, began: began, lastProgress: e.now, lastSeen: e.now})
+	f := &flow{upstream: u, began: began, lastProgress: e.now, lastSeen: e.now}
+	e.record(key, f)
+	e.countOpening(f)
 	if u.pendingSince == 0 {
 		u.pendingSince = e.now
 	}
@@ -73,11 +75,11 @@
 func (e *Engine) forwardRetransmittedSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	f.lastSeen = e.now
-	if u.evacuated {
+	if u.evacuated || e.outOfQuota(u) {
 		return e.moveSYN(rec, key, f)
 	}
 	if e.now-f.lastProgress < minRetransmitAge || u.lastResponse > f.lastProgress {
-		return e.send(Repeated, u)
+		return e.repeatSYN(f)
 	}
 	e.noteUnanswered(u, f)
 	return e.moveSYN(rec, key, f)
@@ -92,8 +94,11 @@
 		e.forget(key)
 		return e.reset(NoUpstream, nil)
 	}
+	if other == nil && e.outOfQuota(u) {
+		return e.dropWarmSYN()
+	}
 	if other == nil {
-		return e.send(Repeated, u)
+		return e.repeatSYN(f)
 	}
 	e.recordSYN(key, other, f.began)
 	v := e.send(Moved, other)
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -131,9 +131,9 @@
 // tierOf returns the tier of u.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
-	case !e.takesFlows(u):
+	case !e.takesFlows(u), e.outOfQuota(u):
 		return tierNone
-	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
+	case !u.health.AcceptsFlows(), e.unsure(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
 	case u.Domain == e.domain:
 		return tierLocal
@@ -163,7 +163,7 @@
 	load += float64(sparrank.Weight(int(uint32(key.client)), u.ID)>>40) / (1 << 24)
 	capacity := float64(u.Slots)
 	if e.now < u.warmUntil {
-		capacity *= warmingShare
+		capacity *= e.warmingCapacity(u)
 	}
 	return load / capacity
 }
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -42,6 +42,7 @@
 	Assisted                   // a packet of an open flow, also sent through another VM
 	Relayed                    // a packet received from another VM
 	NotFresh                   // the settings are too old to refuse a flow
+	WarmLimit                  // all that is left are upstreams that warm up and get no opening more
 	causeCount
 )
 
@@ -85,7 +86,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved or HealthChanged.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged or WarmHolder.
 	Event interface {
 		event()
 	}
@@ -118,6 +119,9 @@
 	Stats struct {
 		Verdicts  [causeCount]uint64
 		Abandoned uint64 // requests that clients gave up unanswered
+
+		WarmOpenings uint64 // sent to upstreams whose openings are limited
+		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
 	}
 )
 
@@ -128,7 +132,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "warm-limit",
 }
 
 // String returns the cause as written in logs and metrics.
--- /dev/null
+++ b/internal/route/sparcookie/warm.go
@@ -0,0 +1,256 @@
+package sparcookie
+
+import (
+	"math"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparquota"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+type (
+	// warmLimits bounds the openings of upstreams that warm up, over all VMs: see
+	// docs/design/warmup.md. Without a lease there are no limits.
+	warmLimits struct {
+		limit sparconfig.WarmLimit
+		lease *sparquota.Lease
+		wait  time.Duration
+		beat  time.Duration              // between two heartbeats of an upstream to the platform
+		rates map[string]*sparquota.Rate // limits by service
+	}
+
+	// warmQuota is the part of this VM in the limit of one upstream.
+	warmQuota struct {
+		window sparquota.Window
+		rate   *sparquota.Rate // limit of its service
+		domain string          // of the upstream, which the rank depends on
+		from   time.Duration   // when all VMs know the domain
+		rank   int
+		back   time.Duration // when it answered again after an ejection, 0 if it never did
+		holder bool          // as announced last
+	}
+
+	// WarmHolder reports that this VM has become a holder of the quota of an upstream that warms
+	// up, or has ceased to be one.
+	WarmHolder struct {
+		Upstream sparroster.Upstream
+		Holder   bool
+		Part     int // openings in a second that this VM may send
+	}
+)
+
+func (WarmHolder) event() {}
+
+// SetWarmLimit limits the openings that upstreams get during their warm-up, over all VMs.
+// Settings are fresh up to the age of maxAge, which all VMs have in common. Upstreams write
+// their entries each beat. It must precede the first Apply.
+func (e *Engine) SetWarmLimit(limit sparconfig.WarmLimit, maxAge, beat time.Duration) {
+	e.warm = warmLimits{
+		limit: limit, lease: sparquota.NewLease(e.name, maxAge), wait: sparquota.Wait(maxAge), beat: beat,
+		rates: map[string]*sparquota.Rate{},
+	}
+}
+
+// RenewWarm sets the age that the settings had at the time now.
+func (e *Engine) RenewWarm(now, age time.Duration) {
+	if e.warm.lease != nil {
+		e.warm.lease.Renew(now, age)
+	}
+}
+
+// applyWarm puts the limits of a roster in force.
+func (e *Engine) applyWarm(r sparroster.Roster) {
+	if e.warm.lease == nil {
+		return
+	}
+	members := make([]sparquota.Member, len(r.VMs))
+	for i, vm := range r.VMs {
+		members[i] = sparquota.Member{Name: vm.Name, Domain: vm.Domain}
+	}
+	at, listed := r.VMEntryAt(e.name)
+	e.warm.lease.List(e.now, members, sparquota.Entry{Listed: listed && at.Era == r.At.Era, At: at, Era: r.At.Era})
+	e.applyWarmRates(r.Routing)
+	for _, entry := range r.Upstreams {
+		e.applyQuota(e.upstreams[entry.ID])
+	}
+	e.rankWarm()
+}
+
+// applyWarmRates sets the limit of each service that has a warm rate, or had one.
+func (e *Engine) applyWarmRates(routing sparroster.Routing) {
+	limits := map[string]float64{}
+	for _, s := range routing.Services {
+		if s.WarmRate > 0 {
+			limits[s.Name] = sparquota.Limit(s.WarmRate, e.warm.limit.Overage, e.warm.limit.Slack)
+		}
+	}
+	for name, limit := range limits {
+		if e.warm.rates[name] == nil {
+			e.warm.rates[name] = &sparquota.Rate{}
+		}
+		e.warm.rates[name].Set(e.now, e.warm.wait, limit)
+	}
+	for name, rate := range e.warm.rates {
+		if _, ok := limits[name]; !ok {
+			rate.Set(e.now, e.warm.wait, math.Inf(1))
+		}
+	}
+}
+
+// applyQuota keeps the quota of an upstream whose service has a warm rate, or had one.
+func (e *Engine) applyQuota(u *upstream) {
+	rate := e.warm.rates[u.Service]
+	switch {
+	case rate == nil:
+		u.quota = nil // of the service that it had under this ID
+		return
+	case u.quota == nil:
+		u.quota = &warmQuota{domain: u.Domain}
+	case u.quota.domain != u.Domain:
+		u.quota.domain, u.quota.from = u.Domain, e.now+e.warm.wait
+	}
+	u.quota.rate = rate
+}
+
+// rankWarm ranks this VM for each upstream whose service has a warm rate.
+func (e *Engine) rankWarm() {
+	for _, u := range e.upstreams {
+		if u.quota != nil {
+			u.quota.rank = e.warm.lease.Rank(u.ID, u.quota.domain)
+		}
+	}
+}
+
+// tickWarm ranks this VM anew when a VM that left counts no more, and announces where this VM
+// has become a holder or has ceased to be one.
+func (e *Engine) tickWarm() {
+	if e.warm.lease == nil {
+		return
+	}
+	if e.warm.lease.Expire(e.now) {
+		e.rankWarm()
+	}
+	for _, u := range e.upstreams {
+		if u.quota == nil {
+			continue
+		}
+		limited := e.limited(u) && !u.removed
+		part := 0
+		if limited {
+			part = e.part(u)
+		}
+		if holder := part > 0; holder != u.quota.holder {
+			u.quota.holder = holder
+			e.emit(WarmHolder{Upstream: u.Upstream, Holder: holder, Part: part})
+		}
+	}
+}
+
+// limited reports whether u warms up and its openings are limited.
+func (e *Engine) limited(u *upstream) bool {
+	return u.quota != nil && e.now < u.warmUntil && !math.IsInf(u.quota.rate.Value(e.now), 1)
+}
+
+// part returns how many openings in a second this VM may send to u, which is limited.
+func (e *Engine) part(u *upstream) int {
+	if !e.warm.lease.Active(e.now) || e.now < u.quota.from {
+		return 0
+	}
+	return sparquota.Part(u.quota.rate.Value(e.now), u.quota.rank)
+}
+
+// noteBack records that u has answered again after an ejection.
+func (e *Engine) noteBack(u *upstream, changed bool) {
+	if changed && u.quota != nil {
+		u.quota.back = e.now
+	}
+	e.emitHealth(u, changed)
+}
+
+// unsure reports whether u may have restarted under its ID without the settings saying so yet: it
+// has answered again after an ejection, and they are of before its next heartbeat. Then only
+// holders use it, unless nothing else is left.
+func (e *Engine) unsure(u *upstream) bool {
+	q := u.quota
+	if q == nil || q.back == 0 || math.IsInf(q.rate.Value(e.now), 1) || e.warm.lease.CompleteAt() > q.back+e.warm.beat {
+		return false
+	}
+	return q.window.Count(e.now) >= e.part(u)
+}
+
+// outOfQuota reports whether u warms up and may get no opening from this VM now.
+func (e *Engine) outOfQuota(u *upstream) bool {
+	return e.limited(u) && u.quota.window.Count(e.now) >= e.part(u)
+}
+
+// countOpening counts a SYN that is sent to the upstream of f. The first request of the flow
+// then counts with it.
+func (e *Engine) countOpening(f *flow) {
+	u := f.upstream
+	if u.quota == nil {
+		return
+	}
+	u.quota.window.Add(e.now) // also before it warms up: it may restart within the second
+	f.prepaid = true
+	if e.limited(u) {
+		e.stats.WarmOpenings++
+	}
+}
+
+// countRequest counts a request on an open flow.
+func (e *Engine) countRequest(f *flow) {
+	if f.prepaid {
+		f.prepaid = false
+		return
+	}
+	if u := f.upstream; u.quota != nil {
+		u.quota.window.Add(e.now)
+	}
+}
+
+// repeatSYN sends a retransmitted SYN to the same upstream, which then gets one opening more.
+func (e *Engine) repeatSYN(f *flow) Verdict {
+	e.countOpening(f)
+	return e.send(Repeated, f.upstream)
+}
+
+// refuseSYN returns the verdict on a SYN that no upstream takes.
+func (e *Engine) refuseSYN(rec *routeRecord) Verdict {
+	for _, t := range rec.route.Targets {
+		if t.Weight > 0 && e.lacksQuota(e.pools[t.Service]) {
+			e.stats.WarmRefusals++
+			return e.reset(WarmLimit, nil)
+		}
+	}
+	return e.reset(NoUpstream, nil)
+}
+
+// lacksQuota reports whether an upstream of p takes no flow only because of its limit.
+func (e *Engine) lacksQuota(p *pool) bool {
+	if p == nil {
+		return false
+	}
+	for _, u := range p.all {
+		if e.takesFlows(u) && e.outOfQuota(u) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropWarmSYN drops a retransmitted SYN that no upstream takes because of the limits. It is not
+// reset: the first SYN may yet open the flow.
+func (e *Engine) dropWarmSYN() Verdict {
+	e.stats.WarmRefusals++
+	return e.drop(WarmLimit)
+}
+
+// warmingCapacity returns the part of its capacity that u has for this VM during its warm-up. If
+// its openings are limited, only its holders send any, each the share of other VMs as well.
+func (e *Engine) warmingCapacity(u *upstream) float64 {
+	if !e.limited(u) {
+		return warmingShare
+	}
+	return warmingShare * max(1, float64(e.domainVMs)/sparquota.Holders)
+}
--- a/internal/route/sparquota/lease.go
+++ b/internal/route/sparquota/lease.go
@@ -94,6 +94,9 @@
 	return changed
 }
 
+// CompleteAt returns the time at which the settings were complete.
+func (l *Lease) CompleteAt() time.Duration { return l.until - l.maxAge }
+
 // Active reports whether this VM may use its part of the limits.
 func (l *Lease) Active(now time.Duration) bool {
 	return l.entry.Listed && now < l.until && now-l.since > l.wait
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -275,3 +275,13 @@
 
 // ErrUnknownKey is returned by a Decoder for a key of a kind that it does not support.
 const ErrUnknownKey = errors.ConstError("no such kind of key")
+
+// VMEntryAt returns the position that wrote the entry of a VM last, and whether the VM is listed.
+func (r Roster) VMEntryAt(name string) (at sparregistry.Position, listed bool) {
+	for _, vm := range r.VMs {
+		if vm.Name == name {
+			return r.decoded[VMPrefix+name].at, true
+		}
+	}
+	return at, false
+}
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -161,6 +161,7 @@
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
 		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
 	}
+	vm.setWarmLimit()
 	vm.buffers.New = func() any { return new(packet) }
 	if vm.clock, err = newClock(); err != nil {
 		return nil, err
@@ -286,6 +287,7 @@
 	vm.engine.Advance(vm.tickedAt)
 	vm.engine.SetFresh(vm.sync.Fresh(now))
 	vm.age = vm.sync.Age(now)
+	vm.renewWarm()
 	vm.engine.Tick()
 	state := vm.sync.State()
 	vm.perform(vm.sync.Tick(now), now)
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -82,6 +82,8 @@
 			vm.logUpstream("upstream unusable", e.Upstream, logrus.Fields{"draining": e.Upstream.Draining})
 		case sparcookie.UpstreamRemoved:
 			vm.logUpstream("upstream left", e.Upstream, nil)
+		case sparcookie.WarmHolder:
+			vm.logWarmHolder(e)
 		case sparcookie.HealthChanged:
 			vm.logUpstream("upstream "+e.State, e.Upstream, logrus.Fields{"silent_ms": e.Silent.Milliseconds()})
 		}
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -81,6 +81,8 @@
 	}
 	m.last = stats
 	m.count("lost_requests", stats.Abandoned)
+	m.count("warm_openings", stats.WarmOpenings)
+	m.count("warm_refusals", stats.WarmRefusals)
 }
 
 // count publishes a counter by its total.
