--- a/internal/route/sparcookie/warm_clients_test.go
+++ b/internal/route/sparcookie/warm_clients_test.go
@@ -46,10 +46,15 @@
 	return vm
 }
 
+// siteClient returns the address of the nth flow.
+func siteClient(n uint32) sparflow.Endpoint {
+	return sparflow.MakeEndpoint(0x64400000+n>>14, uint16(1024+n&0x3fff))
+}
+
 func (s *warmSite) openFlow(load siteLoad) {
 	s.port++
 	seg := sparcookie.Segment{
-		From: sparflow.MakeEndpoint(0x64400000+s.port>>14, uint16(1024+s.port&0x3fff)), To: bookingAddr, Seq: 100, Kind: sparcookie.SYN,
+		From: siteClient(s.port), To: bookingAddr, Seq: 100, Kind: sparcookie.SYN,
 	}
 	s.sendSYN(s.anyVM(), seg, load, 0)
 }
