--- a/internal/route/sparcookie/warm_test.go
+++ b/internal/route/sparcookie/warm_test.go
@@ -185,8 +185,7 @@
 	f.drain()
 	f.open()
 	f.edit(id, func(u *sparroster.Upstream) { u.Born++ })
-	f.vm.fetchAt = 0
-	f.wait(300 * time.Millisecond)
+	f.learn()
 	wantVerdict(t, f.open(), sparcookie.Reset, sparcookie.WarmLimit)
 	f.wait(time.Second)
 	wantVerdict(t, f.open(), sparcookie.ToUpstream, sparcookie.Placed)
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -37,6 +37,7 @@
 		key      string                                // of the upstream's entry in the platform
 		grace    sparconfig.Figure                     // seconds; for VMs started later
 		wrap     func(sparentry.Store) sparentry.Store // for VMs started later, nil for none
+		edit     func(*sparconfig.File)                // of VMs started later, nil for none
 	}
 
 	// vm is one running VM.
@@ -131,6 +132,9 @@
 		Carrier: sparconfig.Cookie, Name: name, Domain: "north", Data: addr(s.t), Control: control, Ready: addr(s.t),
 		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: s.grace,
 	}
+	if s.edit != nil {
+		s.edit(&file)
+	}
 	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &logBuffer{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
 	client := sparentry.Store(v.store)
 	if s.wrap != nil {
