--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -92,8 +92,12 @@
 		e.warm.rates[name].Set(e.now, e.warm.wait, limit)
 	}
 	for name, rate := range e.warm.rates {
-		if _, ok := limits[name]; !ok {
-			rate.Set(e.now, e.warm.wait, math.Inf(1))
+		if _, ok := limits[name]; ok {
+			continue
+		}
+		rate.Set(e.now, e.warm.wait, math.Inf(1))
+		if math.IsInf(rate.Value(e.now), 1) {
+			delete(e.warm.rates, name)
 		}
 	}
 }
@@ -103,7 +107,7 @@
 	rate := e.warm.rates[u.Service]
 	switch {
 	case rate == nil:
-		u.quota = nil // of the service that it had under this ID
+		u.quota = nil // of an earlier limit, or of the service that it had under this ID
 		return
 	case u.quota == nil:
 		u.quota = &warmQuota{domain: u.Domain}
--- a/internal/route/sparcookie/warm_test.go
+++ b/internal/route/sparcookie/warm_test.go
@@ -192,7 +192,7 @@
 }
 
 // TestChangedRate changes the limit while an upstream warms up: a lower one holds at once, a
-// higher one when all VMs know it.
+// higher one, or none, when all VMs know it.
 func TestChangedRate(t *testing.T) {
 	f := newWarmFixture(t, 9, sparconfig.WarmLimit{Overage: 1})
 	id := f.add("north", time.Minute)
@@ -201,7 +201,7 @@
 		rate float64
 		wait time.Duration
 		want int
-	}{{9, 0, 3}, {3, 0, 1}, {30, 0, 1}, {30, siteWait, 10}} {
+	}{{9, 0, 3}, {3, 0, 1}, {30, 0, 1}, {30, siteWait, 10}, {0, 0, 10}, {0, siteWait, 50}, {3, 0, 1}} {
 		f.setRate(step.rate)
 		f.wait(2*time.Second + step.wait)
 		if got := f.openMany(50); got[id] != step.want {
