--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -57,6 +57,7 @@
 		hedges    *hedging // nil if no openings are hedged
 		events    []Event
 		stats     Stats
+		warm      warmLimits
 	}
 
 	// routeRecord is the route of an address, with the services that it named earlier.
@@ -93,6 +94,7 @@
 		lastSYN         time.Duration
 		races           lostRaces
 		avoidedAt       time.Duration // when an opening at it was last due for a hedge
+		quota           *warmQuota    // nil if its service has no warm rate
 	}
 )
 
@@ -122,6 +124,7 @@
 	e.applyUpstreams(r)
 	e.assignCookies()
 	e.applyVMs(r.VMs)
+	e.applyWarm(r)
 }
 
 func (e *Engine) applyRoutes(r sparroster.Roster) {
@@ -206,6 +209,7 @@
 	u := &upstream{Upstream: entry}
 	if prev != nil {
 		u.cookie = prev.cookie
+		u.quota = prev.quota // its openings of the last second still count
 		for key, f := range e.flows {
 			if f.upstream == prev {
 				delete(e.flows, key)
@@ -226,6 +230,7 @@
 			e.emitHealth(u, true)
 		}
 	}
+	e.tickWarm()
 	if e.now-e.lastSweep < sweepInterval {
 		return
 	}
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -43,6 +43,7 @@
 	Relayed                    // a packet received from another VM
 	NotFresh                   // the settings are too old to refuse a flow
 	Hedged                     // a SYN without an answer, also sent to a second upstream
+	WarmLimit                  // all that is left are upstreams that warm up and get no opening more
 	causeCount
 )
 
@@ -87,7 +88,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved or HealthChanged.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged or WarmHolder.
 	Event interface {
 		event()
 	}
@@ -120,6 +121,9 @@
 	Stats struct {
 		Verdicts  [causeCount]uint64
 		Abandoned uint64 // requests that clients gave up unanswered
+
+		WarmOpenings uint64 // sent to upstreams whose openings are limited
+		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
 	}
 )
 
@@ -130,7 +134,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged", "warm-limit",
 }
 
 // String returns the cause as written in logs and metrics.
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -38,6 +38,7 @@
 		grace    sparconfig.Figure                     // seconds; for VMs started later
 		hedge    sparconfig.Figure                     // share of openings; for VMs started later
 		wrap     func(sparentry.Store) sparentry.Store // for VMs started later, nil for none
+		edit     func(*sparconfig.File)                // of VMs started later, nil for none
 	}
 
 	// vm is one running VM.
@@ -141,6 +142,9 @@
 		Platform: s.store, Seeds: seeds, Log: "json", Flows: 1000, Force: 3000, Grace: s.grace,
 		Hedge: s.hedge,
 	}
+	if s.edit != nil {
+		s.edit(&file)
+	}
 	v := &vm{site: s, file: file, store: platform.NewStore(s.store), log: &logBuffer{}, reload: make(chan sparconfig.File, 1), done: make(chan error, 1)}
 	client := sparentry.Store(v.store)
 	if s.wrap != nil {
