sparadmit, sparcookie, sparentry: admission by priority under overload

Cause: a VM refused nothing while upstreams were full. They queue a few requests and turn the rest away, so that with demand above the slots a third of all tries was wasted, of urgent routes as well. Ruled out: limits by gradient (five requests under way at a VM are noise), CoDel (made for senders that slow down), utilization alone (slow and silent upstreams look like load), holding SYNs (serves no one more while demand lasts), see docs/design/admission.md. Change: each VM refuses a share of the new flows of an overloaded service, set by proportional-integral control of the queueing delay that it observes, while all slots are taken; less urgent priorities first, each down to a twentieth. Open flows, copies of SYNs and routes without an objective are never refused. The service time in domainFull is observed: typicalServiceTime is gone. Until a response was seen, no domain counts as full. Tests: TestBurstSpills and TestCoincidingRequestsDoNotSpill now answer their requests after 20 ms, the time that was assumed before; their bounds are as they were.

--- /dev/null
+++ b/internal/route/sparadmit/limiter.go
@@ -0,0 +1,238 @@
+// Package sparadmit decides which new flows of an overloaded service are refused.
+//
+// A Limiter observes one service. It is told of each request and response, and asked about
+// each new flow:
+//
+//	l := sparadmit.New()
+//	l.SetPool(slots, vms)
+//	route := sparadmit.NewTimes(400 * time.Millisecond)
+//	l.Request(now)
+//	l.Response(now, route, waited)
+//	if !l.Admit(now, sparadmit.Opening{Client: client, Priority: 2}) {
+//		// refuse the flow
+//	}
+//
+// The share of flows that it refuses follows from the queueing delay of responses. The least
+// urgent priority is refused first. Limiters of several VMs before the same upstreams converge
+// to the same share without messages. A Limiter does no I/O and reads no clock.
+package sparadmit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// interval is the least length of a window of observations.
+	interval = 100 * time.Millisecond
+	// maxInterval is the longest one. It has ended by then with too few responses.
+	maxInterval = time.Second
+	// minResponses is the number of responses that a window needs for a decision.
+	minResponses = 8
+	// maxResponses is the number of responses of a window that are kept.
+	maxResponses = 64
+	// manyResponses ends a window in which most responses tell nothing about the queue.
+	manyResponses = 3 * minResponses
+	// startWindows is the number of windows in a row that begin an overload.
+	startWindows = 3
+	// minWindows is the number of windows after which the requests under way are known.
+	minWindows = 3
+	// maxPath is the wait for a SYN-ACK from which the SYN may have been retransmitted.
+	maxPath = 150 * time.Millisecond
+
+	// allTaken is the number of requests under way per slot from which all slots are taken.
+	allTaken = 1.0
+	// stillTaken replaces allTaken while flows are refused: this VM may refuse more than others.
+	stillTaken = 0.5
+	// manyFree is the number of requests under way per slot below which few requests queue.
+	manyFree = 0.7
+	// allQueueing is the number of requests under way per slot that means overload if nothing
+	// is known of response times.
+	allQueueing = 3.0
+	// maxQueueing limits the queueing delay that the control responds to.
+	maxQueueing = 3.0
+	// integralGain is the growth of the refused share per second at twice the allowed delay.
+	integralGain = 1.0
+	// trendGain is the growth of the refused share as the delay grows by the allowed one.
+	trendGain = 0.2
+	// releaseGain replaces integralGain below half of the allowed delay, so that slots are
+	// not left free.
+	releaseGain = 2.0
+	// decay is the part of the refused share that is given up per second.
+	decay = 1.2
+	// leastRefused is the share below which nothing is refused: one window of chance delays.
+	leastRefused = 0.05
+	// quietTime is how long nothing is refused before an overload counts as over.
+	quietTime = time.Second
+)
+
+type (
+	// State is what a Limiter knows, for logs and metrics.
+	State struct {
+		Refused  float64 // share of new flows that is refused
+		Pending  float64 // requests under way at all VMs
+		Slots    int
+		Queueing float64       // median queueing delay, in parts of the allowed one
+		Response time.Duration // mean response time
+		Began    time.Duration // begin of the overload, or 0
+	}
+
+	// Limiter is the admission state of one service. Create it with New.
+	Limiter struct {
+		view     View
+		viewAt   time.Duration
+		ownVMs   int
+		ownSlots int
+
+		began    time.Duration // begin of the window
+		requests int           // in the window
+		waited   time.Duration // sum over the responses of the window
+		answered int           // responses in the window
+		queued   []float64     // queueing delays in the window, in parts of the allowed ones
+
+		rate     float64 // requests per second
+		response float64 // mean response time in seconds
+		base     float64 // mean response time without queueing, in seconds
+		path     float64 // mean wait for a SYN-ACK, in seconds: the same way without work
+		queueing float64 // median of the last window
+		windows  int     // that have ended
+		delayed  int     // windows in a row with overload
+		refused  float64 // share of new flows
+		since    time.Duration
+		lastShed time.Duration
+		shedder  shedder
+	}
+)
+
+// New returns the limiter of a service that has seen no load.
+func New() *Limiter { return &Limiter{queued: make([]float64, 0, maxResponses)} }
+
+// SetPool sets the slots of the upstreams that take new flows, and the number of VMs.
+func (l *Limiter) SetPool(slots, vms int) { l.ownSlots, l.ownVMs = slots, max(vms, 1) }
+
+// SetView sets the load at all VMs. Without a recent one, a Limiter takes its own load for that
+// of each VM.
+func (l *Limiter) SetView(now time.Duration, v View) { l.view, l.viewAt = v, now }
+
+// Request records a request that is sent to an upstream.
+func (l *Limiter) Request(now time.Duration) {
+	l.Advance(now)
+	l.requests++
+}
+
+// Response records the response to a request of a route.
+func (l *Limiter) Response(now time.Duration, route *Times, waited time.Duration) {
+	l.Advance(now)
+	l.answered++
+	l.waited += waited
+	if q, ok := route.queueing(waited); ok && len(l.queued) < maxResponses {
+		l.queued = append(l.queued, q)
+	}
+	slotsFree := l.windows >= minWindows && l.perSlot(now) < manyFree
+	route.observe(now, waited, slotsFree)
+	if route.base > 0 {
+		l.base = approach(l.base, route.base)
+	}
+}
+
+// Opened records the wait for a SYN-ACK. It is the time that packets are under way.
+func (l *Limiter) Opened(waited time.Duration) {
+	if waited < maxPath {
+		l.path = approach(l.path, waited)
+	}
+}
+
+// Advance ends the window of observations if it is due.
+func (l *Limiter) Advance(now time.Duration) {
+	length := now - l.began
+	enough := len(l.queued) >= minResponses || l.answered >= manyResponses
+	if length < interval || !enough && length < maxInterval {
+		return
+	}
+	if l.began == 0 {
+		length = interval // the first window has no begin
+	}
+	l.windows++
+	l.average(length)
+	l.control(now, min(length, maxInterval))
+	l.began, l.requests, l.waited, l.answered = now, 0, 0, 0
+	l.queued = l.queued[:0]
+}
+
+// control sets the share of refused flows from a window.
+func (l *Limiter) control(now, length time.Duration) {
+	before := l.queueing
+	l.queueing = l.median(now)
+	if l.queueing > 1 {
+		l.delayed++
+	} else {
+		l.delayed = 0
+	}
+	if l.refused == 0 && l.delayed < startWindows {
+		l.end(now)
+		return
+	}
+	gain := integralGain
+	if l.queueing < 0.5 {
+		gain = releaseGain
+	}
+	seconds := length.Seconds()
+	trend := min(max(l.queueing-before, -1), 1)
+	l.refused += gain*seconds*(l.queueing-1) + trendGain*trend - decay*seconds*l.refused
+	l.refused = min(max(l.refused, 0), 1-floor)
+	if l.share() == 0 {
+		l.end(now)
+		return
+	}
+	l.lastShed = now
+	if l.since == 0 {
+		l.since = now
+	}
+}
+
+// share returns the share of new flows that is refused.
+func (l *Limiter) share() float64 {
+	if l.refused < leastRefused {
+		return 0
+	}
+	return l.refused
+}
+
+// median returns the median queueing delay of the window in parts of the allowed one, or 0
+// while slots are free.
+func (l *Limiter) median(now time.Duration) float64 {
+	perSlot, taken := l.perSlot(now), allTaken
+	if l.refused > 0 {
+		taken = stillTaken
+	}
+	switch {
+	case perSlot < taken:
+		return 0
+	case len(l.queued) >= minResponses:
+		slices.Sort(l.queued)
+		return min(l.queued[len(l.queued)/2], maxQueueing)
+	case l.answered >= minResponses:
+		return min(perSlot/allQueueing, maxQueueing) // response times are not known yet
+	}
+	return 0
+}
+
+// end ends an overload after some time without refusals.
+func (l *Limiter) end(now time.Duration) {
+	if l.since > 0 && now-l.lastShed >= quietTime {
+		l.since = 0
+	}
+}
+
+// Delayed reports whether responses of the last window have queued for longer than allowed.
+// Then new flows should go to all upstreams before any is refused.
+func (l *Limiter) Delayed() bool { return l.delayed > 0 || l.refused > 0 }
+
+// State returns what the limiter knows.
+func (l *Limiter) State(now time.Duration) State {
+	v := l.load(now)
+	return State{
+		Refused: l.share(), Pending: v.Pending, Slots: v.Slots, Queueing: l.queueing,
+		Response: time.Duration(l.response * float64(time.Second)), Began: l.since,
+	}
+}
--- /dev/null
+++ b/internal/route/sparadmit/limiter_test.go
@@ -0,0 +1,86 @@
+package sparadmit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparadmit"
+)
+
+// feed sends requests at a rate, with the response time of each, and returns the time at the end.
+func feed(l *sparadmit.Limiter, route *sparadmit.Times, now, d, every, response time.Duration) time.Duration {
+	for end := now + d; now < end; now += every {
+		l.Request(now)
+		l.Response(now, route, response)
+	}
+	return now
+}
+
+// Example learns the response time of a route and then sees it rise while all slots are taken.
+func Example() {
+	l := sparadmit.New()
+	l.SetPool(4, 1)
+	route := sparadmit.NewTimes(400 * time.Millisecond)
+	now := feed(l, route, time.Second, 5*time.Second, 20*time.Millisecond, 40*time.Millisecond)
+	fmt.Println(l.Admit(now, sparadmit.Opening{Client: 7, Priority: 2}))
+	now = feed(l, route, now, 5*time.Second, 10*time.Millisecond, 200*time.Millisecond)
+	admitted := 0
+	for range 100 {
+		if l.Admit(now, sparadmit.Opening{Client: 7, Priority: 2}) {
+			admitted++
+		}
+	}
+	fmt.Println(admitted < 50)
+	// Output:
+	// true
+	// true
+}
+
+// TestSlowWithFreeSlots covers a service that has become five times slower while slots are free:
+// refusals would help no one.
+func TestSlowWithFreeSlots(t *testing.T) {
+	l := sparadmit.New()
+	l.SetPool(100, 1)
+	route := sparadmit.NewTimes(400 * time.Millisecond)
+	now := feed(l, route, time.Second, 5*time.Second, 20*time.Millisecond, 40*time.Millisecond)
+	now = feed(l, route, now, 5*time.Second, 10*time.Millisecond, 200*time.Millisecond)
+	wantAtMost(t, "refused share", l.State(now).Refused, 0)
+}
+
+// TestOverloadIsNotLearnt covers an overload of a minute, which doesn't become the usual response time.
+func TestOverloadIsNotLearnt(t *testing.T) {
+	l := sparadmit.New()
+	l.SetPool(4, 1)
+	route := sparadmit.NewTimes(400 * time.Millisecond)
+	now := feed(l, route, time.Second, 5*time.Second, 20*time.Millisecond, 40*time.Millisecond)
+	now = feed(l, route, now, time.Minute, 10*time.Millisecond, 200*time.Millisecond)
+	wantAtLeast(t, "refused share", l.State(now).Refused, 0.5)
+	wantAtMost(t, "usual response time in ms", float64(route.Base().Milliseconds()), 45)
+}
+
+// TestView covers a VM whose callers are few compared with those of the others. It learns from the
+// figures of all VMs that slots are taken, as long as they are recent.
+func TestView(t *testing.T) {
+	l := sparadmit.New()
+	l.SetPool(100, 1)
+	route := sparadmit.NewTimes(400 * time.Millisecond)
+	now := feed(l, route, time.Second, 5*time.Second, 20*time.Millisecond, 40*time.Millisecond)
+	for range 10 {
+		l.SetView(now, sparadmit.View{Pending: 300, Slots: 100, VMs: 16, Age: 200 * time.Millisecond})
+		now = feed(l, route, now, 100*time.Millisecond, 10*time.Millisecond, 200*time.Millisecond)
+	}
+	wantAtLeast(t, "refused share", l.State(now).Refused, 0.3)
+	now = feed(l, route, now, 3*time.Second, 10*time.Millisecond, 200*time.Millisecond)
+	wantAtMost(t, "refused share without recent figures", l.State(now).Refused, 0)
+}
+
+// TestPriorityOutOfRange covers priorities that the settings do not limit.
+func TestPriorityOutOfRange(t *testing.T) {
+	l := sparadmit.New()
+	for _, priority := range []int{-5, 8, 1 << 40} {
+		if !l.Admit(time.Second, sparadmit.Opening{Client: 7, Priority: priority}) {
+			t.Errorf("priority %d refused without load", priority)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/sparadmit/load.go
@@ -0,0 +1,81 @@
+package sparadmit
+
+import "time"
+
+const (
+	// maxViewAge is the age from which figures of all VMs are not used.
+	maxViewAge = time.Second
+	// loadSpan is the time over which the requests under way are averaged.
+	loadSpan = 500 * time.Millisecond
+	// meanCount is the number of samples that the means of base and path reach back.
+	meanCount = 64
+)
+
+// View is the load of a service at all VMs.
+type View struct {
+	Pending float64 // requests under way
+	Slots   int     // of the upstreams that take new flows
+	VMs     int
+	Age     time.Duration
+}
+
+// ServiceTime returns how long a request occupies a slot, 0 if that is unknown. Until it has
+// been seen while slots are free, it includes queueing.
+func (l *Limiter) ServiceTime() time.Duration {
+	response := l.base
+	if response == 0 {
+		response = l.response
+	}
+	return time.Duration(max(0, response-l.path) * float64(time.Second))
+}
+
+// average updates the request rate and the mean response time from a window.
+func (l *Limiter) average(length time.Duration) {
+	part := min(1, length.Seconds()/loadSpan.Seconds())
+	l.rate += part * (float64(l.requests)/length.Seconds() - l.rate)
+	if l.answered == 0 {
+		return
+	}
+	mean := l.waited.Seconds() / float64(l.answered)
+	if l.response == 0 {
+		l.response = mean
+	}
+	l.response += part * (mean - l.response)
+}
+
+// pending returns the requests of this VM that are under way. In a long window, the load may have
+// risen since its begin.
+func (l *Limiter) pending(now time.Duration) float64 {
+	mean := l.rate * max(0, l.response-l.path)
+	length := now - l.began
+	if length < interval || length > maxInterval || l.answered == 0 {
+		return mean
+	}
+	response := l.waited.Seconds() / float64(l.answered)
+	return max(mean, float64(l.requests)/length.Seconds()*max(0, response-l.path))
+}
+
+// perSlot returns the requests under way of all VMs per slot.
+func (l *Limiter) perSlot(now time.Duration) float64 {
+	v := l.load(now)
+	if v.Slots == 0 {
+		return 0
+	}
+	return v.Pending / float64(v.Slots)
+}
+
+// load returns the load at all VMs.
+func (l *Limiter) load(now time.Duration) View {
+	if l.viewAt > 0 && now-l.viewAt+l.view.Age < maxViewAge {
+		return l.view
+	}
+	return View{Pending: l.pending(now) * float64(l.ownVMs), Slots: l.ownSlots, VMs: l.ownVMs}
+}
+
+// approach returns the mean of the last samples in seconds, with one more sample.
+func approach(mean float64, sample time.Duration) float64 {
+	if mean == 0 {
+		return sample.Seconds()
+	}
+	return mean + (sample.Seconds()-mean)/meanCount
+}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -54,6 +54,7 @@
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
+		admission admission
 		events    []Event
 		stats     Stats
 	}
@@ -64,6 +65,7 @@
 		live     bool            // in the roster
 		since    time.Duration   // when this VM first saw the route
 		services map[string]bool // all services that this VM has seen in the route
+		times    routeTimes      // of its requests
 	}
 
 	// pool is the upstreams of a service that are in the roster, ordered by ID.
@@ -223,6 +225,7 @@
 			e.emitHealth(u, true)
 		}
 	}
+	e.tickAdmission()
 	if e.now-e.lastSweep < sweepInterval {
 		return
 	}
--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -36,6 +36,13 @@
 	evacuated []string // failure domains
 	routes    []sparroster.Route
 	port      uint16
+	awaiting  []response // by time
+}
+
+// response is the acknowledgement of a response that is due at a time.
+type response struct {
+	at time.Duration
+	c  *client
 }
 
 func mustEndpoint(s string) sparflow.Endpoint {
@@ -126,8 +133,29 @@
 	f.apply()
 }
 
+// requestOf opens a flow at once, sends a request whose response arrives after a time, and returns
+// the upstream.
+func (f *fixture) requestOf(work time.Duration) (upstream uint64) {
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.s.Seq, c.s.Ack = 101, 500
+	f.forward(c.s)
+	c.request()
+	f.awaiting = append(f.awaiting, response{at: f.now + work, c: c})
+	return c.upstream
+}
+
+// respond delivers the responses that are due.
+func (f *fixture) respond() {
+	for len(f.awaiting) > 0 && f.awaiting[0].at <= f.now {
+		f.awaiting[0].c.ackResponse()
+		f.awaiting = f.awaiting[1:]
+	}
+}
+
 func (f *fixture) wait(d time.Duration) {
 	f.now += d
+	f.respond()
 	f.engine.Advance(f.now)
 	f.engine.Tick()
 }
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -99,6 +99,7 @@
 		f.requestedAt = e.now
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
+		e.limiter(f.upstream.Service).Request(e.now)
 	}
 }
 
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -49,6 +49,9 @@
 	if f != nil && !f.opened && e.now-f.began < openTimeout {
 		return e.forwardRetransmittedSYN(rec, key, f)
 	}
+	if !e.admits(rec, key, s) {
+		return e.reset(Overloaded, nil)
+	}
 	u := e.choose(rec, key, nil)
 	if u == nil {
 		return e.reset(NoUpstream, nil)
@@ -124,6 +127,7 @@
 		return e.forwardUnrouted(key, u)
 	}
 	obs := e.observe(f, s)
+	e.noteWaited(rec, f, s, obs)
 	if s.Kind == FIN || s.Kind == RST {
 		if waited, abandoned := e.noteAbandoned(f); abandoned {
 			obs.abandoned, obs.waited = true, waited
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -17,8 +17,6 @@
 	// abandonedWeight is the load that an abandoned request counts for, in open flows: the
 	// length of an upstream's queue, since nothing shows whether the queue has room.
 	abandonedWeight = 8
-	// typicalServiceTime is how long a request occupies a slot in today's services.
-	typicalServiceTime = 20 * time.Millisecond
 )
 
 // tier is the preference of an upstream for new flows; lower is better.
@@ -75,7 +73,7 @@
 	if p == nil {
 		return nil
 	}
-	full := e.domainFull(p.local)
+	full := e.domainFull(p.local, e.serviceTime(service)) || e.queueing(service)
 	if !full {
 		if u, t := e.bestOf(p.local, key, exclude, false); t == tierLocal {
 			return e.markPlaced(u)
@@ -142,9 +140,9 @@
 }
 
 // domainFull reports whether the utilization of the healthy upstreams of this domain has
-// reached spillThreshold. It assumes that the other VMs of the domain forward as many
+// reached spillThreshold, if a request occupies a slot for serviceTime. It assumes that the other VMs of the domain forward as many
 // requests as this one.
-func (e *Engine) domainFull(local []*upstream) bool {
+func (e *Engine) domainFull(local []*upstream, serviceTime time.Duration) bool {
 	requests, slots := 0.0, 0
 	for _, u := range local {
 		if e.tierOf(u) == tierLocal {
@@ -152,7 +150,7 @@
 			slots += u.Slots
 		}
 	}
-	busy := requests * float64(typicalServiceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
+	busy := requests * float64(serviceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
 	return busy >= spillThreshold*float64(slots)
 }
 
--- a/internal/route/sparcookie/place_test.go
+++ b/internal/route/sparcookie/place_test.go
@@ -63,12 +63,7 @@
 	f := newFixture(t)
 	got := map[string]int{}
 	for range 600 { // 1,000 requests per second at 6 slots, 20 ms each
-		c := f.newClient(bookingAddr)
-		c.open()
-		c.s.Seq, c.s.Ack = 101, 500
-		c.f.forward(c.s)
-		c.request()
-		got[f.domainOf(c.upstream)]++
+		got[f.domainOf(f.requestOf(20*time.Millisecond))]++
 		f.wait(time.Millisecond)
 	}
 	if got["south"] < 120 { // 6 slots serve 300 requests per second, the other four 200
@@ -255,12 +250,7 @@
 	f := newFixture(t)
 	for range 200 { // 100 requests per second in pairs, a third of the capacity of 6 slots
 		for range 2 {
-			c := f.newClient(bookingAddr)
-			c.open()
-			c.s.Seq, c.s.Ack = 101, 500
-			c.f.forward(c.s)
-			c.request()
-			if domain := f.domainOf(c.upstream); domain != "north" {
+			if domain := f.domainOf(f.requestOf(20 * time.Millisecond)); domain != "north" {
 				t.Fatalf("a new flow went to %s", domain)
 			}
 		}
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -42,6 +42,7 @@
 	Assisted                   // a packet of an open flow, also sent through another VM
 	Relayed                    // a packet received from another VM
 	NotFresh                   // the settings are too old to refuse a flow
+	Overloaded                 // the service is overloaded; less urgent flows are refused first
 	causeCount
 )
 
@@ -85,7 +86,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved or HealthChanged.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged or OverloadChanged.
 	Event interface {
 		event()
 	}
@@ -128,7 +129,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "overloaded",
 }
 
 // String returns the cause as written in logs and metrics.
--- /dev/null
+++ b/internal/vm/sparentry/admit.go
@@ -0,0 +1,58 @@
+package sparentry
+
+import (
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparadmit"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+)
+
+// addAdmission adds to the line of a refused flow why its service counts as overloaded.
+func (vm *VM) addAdmission(fields logrus.Fields, s sparcookie.Segment, v sparcookie.Verdict) {
+	if v.Cause != sparcookie.Overloaded {
+		return
+	}
+	a := vm.engine.AdmissionOf(s)
+	addAdmissionState(fields, a.State)
+	fields["service"], fields["priority"], fields["target_ms"] = a.Service, a.Priority, a.Target.Milliseconds()
+}
+
+func addAdmissionState(fields logrus.Fields, state sparadmit.State) {
+	fields["level"] = rounded(state.Refused)
+	fields["pending"] = rounded(state.Pending)
+	fields["slots"] = state.Slots
+	fields["queueing"] = rounded(state.Queueing)
+	fields["response_ms"] = state.Response.Milliseconds()
+}
+
+// rounded returns a figure as written in logs.
+func rounded(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
+
+// logOverload logs that this VM begins to refuse flows of a service because of overload, or stops.
+func (vm *VM) logOverload(e sparcookie.OverloadChanged) {
+	what := "overload ended"
+	if e.Began {
+		what = "overload began"
+	}
+	fields := logrus.Fields{"service": e.Service, "age_ms": vm.age.Milliseconds()}
+	addAdmissionState(fields, e.State)
+	vm.log.WithFields(fields).Warn(what)
+	vm.addEvent(what, e.Service, "", int(e.State.Pending))
+}
+
+// publishAdmission publishes the refused share of each service and the refused flows by priority.
+func (m *metrics) publishAdmission(engine *sparcookie.Engine) {
+	for service, state := range engine.AdmissionStates() {
+		m.set.Scope.Tagged(map[string]string{"service": service}).Gauge("admission_level").Update(state.Refused)
+	}
+	rejected := engine.RejectedOpenings()
+	for priority, n := range rejected {
+		if n > m.rejected[priority] {
+			tags := map[string]string{"priority": strconv.Itoa(priority)}
+			m.set.Scope.Tagged(tags).Counter("rejected_openings").Inc(int64(n - m.rejected[priority]))
+		}
+	}
+	m.rejected = rejected
+}
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -46,6 +46,7 @@
 		vm.log.WithFields(fields).Info("opening again")
 	default:
 		fields["cookie"] = fmt.Sprintf("%08x", uint32(s.Cookie))
+		vm.addAdmission(fields, s, v)
 		vm.log.WithFields(fields).Warn("flow refused")
 	}
 }
@@ -84,6 +85,8 @@
 			vm.logUpstream("upstream left", e.Upstream, nil)
 		case sparcookie.HealthChanged:
 			vm.logUpstream("upstream "+e.State, e.Upstream, logrus.Fields{"silent_ms": e.Silent.Milliseconds()})
+		case sparcookie.OverloadChanged:
+			vm.logOverload(e)
 		}
 	}
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparadmit"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 )
 
@@ -24,13 +25,14 @@
 	unsent     atomic.Uint64 // datagrams that the kernel refused
 	early      atomic.Uint64 // packets dropped before the first settings
 	badControl atomic.Uint64
-	control    atomic.Uint64     // bytes of control datagrams sent
-	served     atomic.Uint64     // pulls of peers that were served
-	busy       atomic.Uint64     // pulls of peers that were refused because of overload
-	unverified atomic.Uint64     // notifications that do not tell how long they were under way
-	passedOver atomic.Uint64     // entries of full reads that were older than those held
-	restores   atomic.Uint64     // eras of the platform that followed another one
-	counts     map[string]uint64 // totals published last
+	control    atomic.Uint64                     // bytes of control datagrams sent
+	served     atomic.Uint64                     // pulls of peers that were served
+	busy       atomic.Uint64                     // pulls of peers that were refused because of overload
+	unverified atomic.Uint64                     // notifications that do not tell how long they were under way
+	passedOver atomic.Uint64                     // entries of full reads that were older than those held
+	restores   atomic.Uint64                     // eras of the platform that followed another one
+	counts     map[string]uint64                 // totals published last
+	rejected   [sparadmit.MaxPriority + 1]uint64 // published last
 }
 
 func newMetrics() *metrics {
@@ -48,6 +50,7 @@
 	}
 	m.published = now
 	m.publishVerdicts(vm.engine.Stats())
+	m.publishAdmission(vm.engine)
 	for cause, n := range m.badPackets {
 		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
 	}
