--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -55,6 +55,7 @@
 		maxFlows  int
 		lastSweep time.Duration
 		hedges    *hedging // nil if no openings are hedged
+		admission admission
 		events    []Event
 		stats     Stats
 		warm      warmLimits
@@ -66,6 +67,7 @@
 		live     bool            // in the roster
 		since    time.Duration   // when this VM first saw the route
 		services map[string]bool // all services that this VM has seen in the route
+		times    routeTimes      // of its requests
 	}
 
 	// pool is the upstreams of a service that are in the roster, ordered by ID.
@@ -231,6 +233,7 @@
 		}
 	}
 	e.tickWarm()
+	e.tickAdmission()
 	if e.now-e.lastSweep < sweepInterval {
 		return
 	}
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -103,6 +103,7 @@
 		e.countRequest(f)
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
+		e.limiter(f.upstream.Service).Request(e.now)
 	}
 }
 
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -160,15 +160,14 @@
 		return // changed meanwhile
 	}
 	h := e.hedges
-	pool := e.pools[f.upstream.Service]
-	if pool == nil || e.shortOfSlots(pool) {
+	if e.shortOfSlots(f.upstream.Service) {
 		e.suspendHedges()
 	}
 	if h.budget.Suspended(e.now) {
 		h.stats.Denied[HedgeShort]++
 		return
 	}
-	second := e.secondUpstream(pool, item.Key, f.upstream)
+	second := e.secondUpstream(e.pools[f.upstream.Service], item.Key, f.upstream)
 	if second == nil {
 		h.stats.Denied[HedgeNowhere]++
 		return
@@ -179,6 +178,7 @@
 	}
 	h.stats.Sent++
 	f.hedge.second = e.markPlaced(second)
+	e.countSYN(second)
 	v := e.send(Hedged, second)
 	v.Waited = e.now - f.began
 	h.due = append(h.due, Hedge{Slot: item.Slot, From: item.Key.client, To: item.Key.service, First: f.upstream.Upstream, Verdict: v})
--- a/internal/route/sparcookie/hedge_test.go
+++ b/internal/route/sparcookie/hedge_test.go
@@ -325,13 +325,9 @@
 // more is sent than clients ask for, as in the busiest minutes. Hedges come back afterwards.
 func TestNoHedgesWhileSlotsAreShort(t *testing.T) {
 	f := newHedgingFixture(t)
-	for range 120 {
-		c := f.newClient(bookingAddr)
-		c.open()
-		c.ackHandshake()
-		c.request()
+	for range 120 { // 1,000 requests per second at 10 slots, 20 ms each
+		f.requestOf(20 * time.Millisecond)
 		f.wait(time.Millisecond)
-		c.ackResponse()
 	}
 	f.newClient(bookingAddr).open()
 	f.wait(hedgeDelay)
--- a/internal/route/sparcookie/second.go
+++ b/internal/route/sparcookie/second.go
@@ -7,7 +7,7 @@
 // secondUpstream returns the best upstream for the hedge of an opening at first, or nil if none is
 // fit. It is in another failure domain if that of first is suspect or full.
 func (e *Engine) secondUpstream(p *pool, key flowKey, first *upstream) (best *upstream) {
-	full := e.domainFull(p.local)
+	full := e.domainFull(p.local, e.serviceTime(first.Service))
 	suspect := e.domainSuspect(p, first.Domain)
 	bestTier, bestScore := tierNone, 0.0
 	for _, u := range p.all {
@@ -32,13 +32,17 @@
 // nearlyFull reports whether u may be short of slots. It assumes that the other VMs of this failure
 // domain forward as many requests to u as this one.
 func (e *Engine) nearlyFull(u *upstream) bool {
-	busy := u.rate.value(e.now, rateSpan) * float64(typicalServiceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
+	busy := u.rate.value(e.now, rateSpan) * float64(e.serviceTime(u.Service)) / float64(rateSpan) * float64(max(e.domainVMs, 1))
 	return busy >= hedgeUtilization*float64(u.Slots) || u.abandoned.value(e.now, abandonedSpan) >= 1
 }
 
 // shortOfSlots reports whether the upstreams of a service are nearly full. It assumes that all other
 // VMs forward as many requests as this one.
-func (e *Engine) shortOfSlots(p *pool) bool {
+func (e *Engine) shortOfSlots(service string) bool {
+	p := e.pools[service]
+	if p == nil {
+		return true
+	}
 	requests, slots := 0.0, 0
 	for _, u := range p.all {
 		if e.takesFlows(u) && u.health.AcceptsFlows() {
@@ -46,7 +50,7 @@
 			slots += u.Slots
 		}
 	}
-	busy := requests * float64(typicalServiceTime) / float64(rateSpan) * float64(len(e.relays)+1)
+	busy := requests * float64(e.serviceTime(service)) / float64(rateSpan) * float64(len(e.relays)+1)
 	return slots > 0 && busy >= hedgeUtilization*float64(slots)
 }
 
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -44,6 +44,7 @@
 	NotFresh                   // the settings are too old to refuse a flow
 	Hedged                     // a SYN without an answer, also sent to a second upstream
 	WarmLimit                  // all that is left are upstreams that warm up and get no opening more
+	Overloaded                 // the service is overloaded; less urgent flows are refused first
 	causeCount
 )
 
@@ -88,7 +89,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved, HealthChanged or WarmHolder.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged, WarmHolder or OverloadChanged.
 	Event interface {
 		event()
 	}
@@ -134,7 +135,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged", "warm-limit",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged", "warm-limit", "overloaded",
 }
 
 // String returns the cause as written in logs and metrics.
--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -191,15 +191,19 @@
 // countOpening counts a SYN that is sent to the upstream of f. The first request of the flow
 // then counts with it.
 func (e *Engine) countOpening(f *flow) {
-	u := f.upstream
+	f.prepaid = e.countSYN(f.upstream)
+}
+
+// countSYN counts a SYN that is sent to u. It reports whether u has a quota.
+func (e *Engine) countSYN(u *upstream) bool {
 	if u.quota == nil {
-		return
+		return false
 	}
 	u.quota.window.Add(e.now) // also before it warms up: it may restart within the second
-	f.prepaid = true
 	if e.limited(u) {
 		e.stats.WarmOpenings++
 	}
+	return true
 }
 
 // countRequest counts a request on an open flow.
