sparcookie: a failure domain that falls silent as a whole is avoided

Cause: each VM ejects upstreams one by one. When the upstreams of a failure domain stop together, each of them costs every VM a SYN, and copies of SYNs go to the next silent upstream of the same domain.

Ruled out: ejecting the domain at the first silent upstream (a crash is one); a message between VMs (each sees enough of a whole domain itself).

Flows and copies go to other domains, one SYN a second probes it, and upstreams come back as they answer, at a quarter of their load for a second. Where all domains are suspect, nothing changes. A VM that was paused draws no conclusions.

--- /dev/null
+++ b/internal/route/sparcookie/domain.go
@@ -0,0 +1,238 @@
+package sparcookie
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+)
+
+const (
+	// suspectUpstreams is the number of upstreams of a failure domain that have to leave
+	// SYNs unanswered before the whole domain is suspect.
+	suspectUpstreams = 3
+	// domainProbeInterval is the time after an unanswered probe of a suspect domain until the
+	// next one. Each of them delays a client.
+	domainProbeInterval = time.Second
+	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
+	recoveryLimit = 10 * time.Second
+	// easeTime is how long an upstream that has come back counts as easeShare of its
+	// capacity: all VMs see it with no flows and would send it theirs at once.
+	easeTime  = time.Second
+	easeShare = 0.25
+	// pauseLimit is the time between two checks of openings from which on this VM was paused: then
+	// responses may be waiting that it has not read.
+	pauseLimit = 100 * time.Millisecond
+	// maxOpenings bounds the SYNs that wait for synAckTimeout: those of 5,000 new flows a second.
+	maxOpenings = 256
+)
+
+type (
+	// domainState is what this VM sees of a failure domain and its upstreams of all services.
+	domainState struct {
+		name         string
+		usable       int           // upstreams that take new flows
+		lastResponse time.Duration // of any upstream
+		silent       int           // upstreams that left a SYN unanswered since lastResponse
+		suspectSince time.Duration // 0 while the domain is not suspect
+		answered     int           // upstreams that have answered since suspectSince
+		probe        *upstream     // probed last, or nil
+		probedAt     time.Duration
+	}
+
+	// opening is a SYN whose response is not yet due.
+	opening struct {
+		upstream *upstream
+		at       time.Duration
+	}
+)
+
+// domainOf returns the state of a failure domain.
+func (e *Engine) domainOf(name string) *domainState {
+	d := e.domains[name]
+	if d == nil {
+		d = &domainState{name: name}
+		e.domains[name] = d
+	}
+	return d
+}
+
+// addDomain adds a failure domain to those of the service; own is set for that of this VM.
+func (p *pool) addDomain(d *domainState, own bool) {
+	if slices.Contains(p.domains, d) {
+		return
+	}
+	p.domains = append(p.domains, d)
+	if last := len(p.domains) - 1; own {
+		p.domains[0], p.domains[last] = p.domains[last], p.domains[0]
+	}
+}
+
+// countUsable updates how many upstreams of each failure domain take new flows, and forgets
+// domains without any upstream.
+func (e *Engine) countUsable() {
+	for _, d := range e.domains {
+		d.usable = 0
+	}
+	known := map[*domainState]bool{}
+	for _, u := range e.upstreams {
+		known[u.domain] = true
+		if e.takesFlows(u) {
+			u.domain.usable++
+		}
+	}
+	for name, d := range e.domains {
+		if !known[d] {
+			delete(e.domains, name)
+		}
+	}
+}
+
+// noteOpening records a SYN sent to u, which has to be answered within synAckTimeout.
+func (e *Engine) noteOpening(u *upstream) {
+	u.lastSYN = e.now
+	if len(e.openings) < maxOpenings {
+		e.openings = append(e.openings, opening{upstream: u, at: e.now})
+	}
+}
+
+// checkOpenings notes the SYNs whose response has become due and has not arrived.
+func (e *Engine) checkOpenings() {
+	if e.now-e.checkedAt >= pauseLimit {
+		e.openings = e.openings[:0]
+	}
+	e.checkedAt = e.now
+	due := 0
+	for _, o := range e.openings {
+		if e.now-o.at < synAckTimeout {
+			break
+		}
+		due++
+		if o.upstream.lastResponse < o.at {
+			e.noteSilent(o)
+		}
+	}
+	e.openings = append(e.openings[:0], e.openings[due:]...)
+}
+
+// noteSilent counts an upstream that leaves a SYN unanswered, once until its failure domain
+// answers.
+func (e *Engine) noteSilent(o opening) {
+	u, d := o.upstream, o.upstream.domain
+	if d.lastResponse >= o.at || u.silentAt > d.lastResponse {
+		return
+	}
+	u.silentAt = e.now
+	d.silent++
+	if d.silent >= suspectUpstreams && (d.suspectSince == 0 || d.answered > 0) {
+		d.suspectSince, d.answered, d.probe, d.probedAt = e.now, 0, nil, e.now
+		e.stats.Suspected++
+		e.emit(DomainChanged{Domain: d.name, Suspect: true, Upstreams: d.usable, Silent: e.now - d.lastResponse})
+	}
+}
+
+// noteAnswer records a response of u for its failure domain. u.lastResponse is still that of
+// the response before.
+func (e *Engine) noteAnswer(u *upstream) {
+	d := u.domain
+	if d.suspectSince > 0 && u.lastResponse <= d.suspectSince {
+		d.answered++
+		u.easedUntil = e.now + easeTime
+	}
+	d.lastResponse, d.silent = e.now, 0
+	if d.suspectSince > 0 && d.recovered(e.now) {
+		e.emit(DomainChanged{Domain: d.name, Upstreams: d.answered, Silent: e.now - d.suspectSince})
+		d.suspectSince, d.probe = 0, nil
+	}
+}
+
+// recovered reports whether all upstreams of d have answered since it became suspect, or enough
+// of them for a while. The others count as any single upstream that fails.
+func (d *domainState) recovered(now time.Duration) bool {
+	return d.answered >= d.usable || d.preferable() && now-d.suspectSince >= recoveryLimit
+}
+
+// preferable reports whether the upstreams of d that have answered suffice to prefer it.
+func (d *domainState) preferable() bool {
+	return d.suspectSince == 0 || 2*d.answered >= d.usable
+}
+
+// unproven reports whether u has not answered since its failure domain became suspect.
+func (u *upstream) unproven() bool {
+	return u.domain.suspectSince > 0 && u.lastResponse <= u.domain.suspectSince
+}
+
+// allSuspect reports whether each failure domain of a service is suspect and silent. Then
+// the fault may be at this VM.
+func (p *pool) allSuspect() bool {
+	for _, d := range p.domains {
+		if d.usable > 0 && (d.suspectSince == 0 || d.answered > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// probeDue reports whether a SYN may probe d: the last probe was answered, or it is long ago.
+func (d *domainState) probeDue(now time.Duration) bool {
+	if d.suspectSince == 0 {
+		return false
+	}
+	return d.probe != nil && !d.probe.unproven() || now-d.probedAt >= domainProbeInterval
+}
+
+// pickProbe returns an upstream among those given to probe a suspect failure domain, or nil. A
+// domain's upstreams take turns.
+func (e *Engine) pickProbe(domains []*domainState, upstreams []*upstream) *upstream {
+	for _, d := range domains {
+		if !d.probeDue(e.now) {
+			continue
+		}
+		if u := e.nextProbe(d, upstreams); u != nil {
+			d.probe, d.probedAt = u, e.now
+			return u
+		}
+	}
+	return nil
+}
+
+// probeOwn returns an upstream of the own failure domain for a probe, or nil. Copies of a SYN are
+// not used for probes, since their client has waited already.
+func (e *Engine) probeOwn(p *pool, exclude *upstream) *upstream {
+	if exclude != nil || len(p.local) == 0 {
+		return nil
+	}
+	return e.pickProbe(p.domains[:1], p.local)
+}
+
+// probeOther returns an upstream of any failure domain for a probe, or nil.
+func (e *Engine) probeOther(p *pool, exclude *upstream) *upstream {
+	if exclude != nil {
+		return nil
+	}
+	return e.pickProbe(p.domains, p.all)
+}
+
+// nextProbe returns the unproven upstream of d whose turn it is, or nil: the one whose last SYN
+// since d became suspect is the oldest. Each VM has an order of its own, so that they don't all
+// send their flows to the same upstream once it answers.
+func (e *Engine) nextProbe(d *domainState, upstreams []*upstream) (next *upstream) {
+	for _, u := range upstreams {
+		if u.domain != d || !u.unproven() || !e.takesFlows(u) {
+			continue
+		}
+		if next == nil || e.probedBefore(u, next) {
+			next = u
+		}
+	}
+	return next
+}
+
+// probedBefore reports whether it is the turn of a before that of b, of the same domain.
+func (e *Engine) probedBefore(a, b *upstream) bool {
+	turnA, turnB := max(a.lastSYN, a.domain.suspectSince), max(b.lastSYN, b.domain.suspectSince)
+	if turnA != turnB {
+		return turnA < turnB
+	}
+	return sparrank.Weight(e.slot, a.ID) > sparrank.Weight(e.slot, b.ID)
+}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
@@ -51,6 +52,11 @@
 		pools     map[string]*pool // upstreams in the roster, by service
 		domainVMs int              // VMs of this failure domain, this one included
 		relays    []relay          // other VMs
+		domains   map[string]*domainState
+		openings  []opening     // SYNs whose response is not yet due, oldest first
+		checkedAt time.Duration // last check of openings
+		distrust  bool          // suspect failure domains are avoided
+		slot      int           // of this VM, in the ranking of upstreams to probe
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -68,8 +74,9 @@
 
 	// pool is the upstreams of a service that are in the roster, ordered by ID.
 	pool struct {
-		local []*upstream // in the failure domain of this VM
-		all   []*upstream
+		local   []*upstream // in the failure domain of this VM
+		all     []*upstream
+		domains []*domainState // with upstreams of the service, the one of this VM first
 	}
 
 	// upstream is a server with the observations of this VM.
@@ -90,6 +97,9 @@
 		unansweredFlows int           // flows with an unanswered retransmission since lastResponse
 		health          sparhealth.Health
 		lastSYN         time.Duration
+		domain          *domainState
+		silentAt        time.Duration // when it was last found to leave a SYN unanswered
+		easedUntil      time.Duration // end of the time after its return in which it gets less load
 	}
 )
 
@@ -97,9 +107,10 @@
 // of at most maxFlows flows.
 func New(name, domain string, maxFlows int) *Engine {
 	return &Engine{
-		name: name, domain: domain, maxFlows: maxFlows,
+		name: name, domain: domain, maxFlows: maxFlows, slot: int(uint32(sparrank.Hash(name))),
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
+		domains: map[string]*domainState{},
 	}
 }
 
@@ -156,6 +167,7 @@
 		if entry.Warm == 0 {
 			u.warmUntil = 0
 		}
+		u.domain = e.domainOf(u.Domain)
 		e.addToPool(u)
 	}
 	for _, entry := range r.Unusable {
@@ -168,6 +180,7 @@
 			e.emit(UpstreamRemoved{Upstream: u.Upstream})
 		}
 	}
+	e.countUsable()
 }
 
 // keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
@@ -195,6 +208,7 @@
 	if u.Domain == e.domain {
 		p.local = append(p.local, u)
 	}
+	p.addDomain(u.domain, u.Domain == e.domain)
 }
 
 // addUpstream adds an upstream that is new or has restarted. The records of flows from
@@ -217,6 +231,7 @@
 // Tick runs the work that is due at the current time: it ends ejections, so that a SYN can
 // probe the upstream, and deletes expired records.
 func (e *Engine) Tick() {
+	e.checkOpenings()
 	for _, u := range e.upstreams {
 		if !u.removed && u.health.Tick(e.now, 0) {
 			u.pendingSince = 0 // only the SYN of the probe counts from here on
--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -17,6 +17,7 @@
 	receipts        = "receipts"
 	rtt             = 7 * time.Millisecond
 	retransmitAfter = 200 * time.Millisecond // after which a client retransmits
+	tickEvery       = 50 * time.Millisecond
 )
 
 var (
@@ -126,7 +127,16 @@
 	f.apply()
 }
 
+// wait lets time pass, with a tick each tickEvery as in a VM.
 func (f *fixture) wait(d time.Duration) {
+	for ; d > tickEvery; d -= tickEvery {
+		f.pause(tickEvery)
+	}
+	f.pause(d)
+}
+
+// pause lets time pass without a tick until its end.
+func (f *fixture) pause(d time.Duration) {
 	f.now += d
 	f.engine.Advance(f.now)
 	f.engine.Tick()
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -121,6 +121,7 @@
 func (e *Engine) noteProgress(f *flow) {
 	f.lastProgress = e.now
 	u := f.upstream
+	e.noteAnswer(u)
 	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
 	e.emitHealth(u, u.health.Answered(e.now))
 }
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -75,12 +75,20 @@
 	if p == nil {
 		return nil
 	}
+	e.checkOpenings()
+	e.distrust = !p.allSuspect()
 	full := e.domainFull(p.local)
 	if !full {
+		if u := e.probeOwn(p, exclude); u != nil {
+			return e.markPlaced(u)
+		}
 		if u, t := e.bestOf(p.local, key, exclude, false); t == tierLocal {
 			return e.markPlaced(u)
 		}
 	}
+	if u := e.probeOther(p, exclude); u != nil {
+		return e.markPlaced(u)
+	}
 	u, _ := e.bestOf(p.all, key, exclude, full)
 	return e.markPlaced(u)
 }
@@ -88,7 +96,7 @@
 // markPlaced records that a SYN goes to u, which may be nil.
 func (e *Engine) markPlaced(u *upstream) *upstream {
 	if u != nil {
-		u.lastSYN = e.now
+		e.noteOpening(u)
 	}
 	return u
 }
@@ -135,7 +143,9 @@
 		return tierNone
 	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
-	case u.Domain == e.domain:
+	case e.distrust && u.unproven():
+		return tierUnhealthy
+	case u.Domain == e.domain && (u.domain.preferable() || !e.distrust):
 		return tierLocal
 	}
 	return tierRemote
@@ -165,5 +175,8 @@
 	if e.now < u.warmUntil {
 		capacity *= warmingShare
 	}
+	if e.now < u.easedUntil {
+		capacity *= easeShare
+	}
 	return load / capacity
 }
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -85,7 +85,7 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved or HealthChanged.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged or DomainChanged.
 	Event interface {
 		event()
 	}
@@ -114,10 +114,19 @@
 		Silent   time.Duration // since its last response to any client of this VM
 	}
 
+	// DomainChanged reports that a failure domain is suspect as a whole, or no longer.
+	DomainChanged struct {
+		Domain    string
+		Suspect   bool
+		Upstreams int           // that take new flows; at the end, those that answered again
+		Silent    time.Duration // since the last response of the domain; at the end, since it was suspect
+	}
+
 	// Stats holds counts since the start.
 	Stats struct {
 		Verdicts  [causeCount]uint64
 		Abandoned uint64 // requests that clients gave up unanswered
+		Suspected uint64 // times that a failure domain was suspect as a whole
 	}
 )
 
@@ -125,6 +134,7 @@
 func (UpstreamUnusable) event() {}
 func (UpstreamRemoved) event()  {}
 func (HealthChanged) event()    {}
+func (DomainChanged) event()    {}
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -84,6 +84,8 @@
 			vm.logUpstream("upstream left", e.Upstream, nil)
 		case sparcookie.HealthChanged:
 			vm.logUpstream("upstream "+e.State, e.Upstream, logrus.Fields{"silent_ms": e.Silent.Milliseconds()})
+		case sparcookie.DomainChanged:
+			vm.logDomain(e)
 		}
 	}
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -81,6 +81,7 @@
 	}
 	m.last = stats
 	m.count("lost_requests", stats.Abandoned)
+	m.count("suspect_domains", stats.Suspected)
 }
 
 // count publishes a counter by its total.
