sparevidence: what VMs see of upstreams, shared and merged

Cause: with many VMs each sees an upstream rarely. 16 VMs with 2.8 requests a second in all never learn of an upstream that opens flows and answers nothing.

Ruled out: shares of failures over a window (at high rates the answers of before a crash hide it for seconds); any two failures (chance ejects upstreams once a minute at 1% loss).

Change: a Board merges the counts of VMs. An upstream is ejected if two VMs see nothing but failures in a row, four in all or for a second, and no VM has had an answer since; others report theirs at once meanwhile. After an ejection a trickle of flows shows recovery. One that fails in part or is slow gets less load. One VM counts little; sick VMs, old, future and malformed reports don't count; half of a service is ejected at most. Not wired yet.

--- /dev/null
+++ b/internal/route/sparevidence/board.go
@@ -0,0 +1,197 @@
+package sparevidence
+
+import (
+	"math"
+	"time"
+)
+
+type (
+	// Board holds the evidence of one VM. Create it with New.
+	Board struct {
+		self       string
+		run        uint32
+		vms        map[string]VM
+		domainVMs  map[string]int // by failure domain
+		upstreams  map[uint64]Upstream
+		services   map[string]int // upstreams by service
+		own        map[uint64]*record
+		ownService map[string]*serviceRecord
+		heard      map[string]*source
+		subjects   map[uint64]*subject
+		changed    bool // evidence has arrived since the last Evaluate
+		evaluated  time.Duration
+		pausedAt   time.Duration
+		lastCall   time.Duration
+		composer
+	}
+
+	// record is what this VM has seen of one upstream.
+	record struct {
+		tally
+		openedAt   time.Duration // last opening that was answered
+		answeredAt time.Duration // last request that was answered
+		failedAt   time.Duration // last failure
+		streak     time.Duration // first failure since the last answered request, or 0
+	}
+
+	// serviceRecord is what this VM has seen of one service.
+	serviceRecord struct {
+		tally
+		waited    tally // in seconds, as Answered
+		load      map[string]int
+		refused   float64 // openings, decaying over refusedSpan
+		refusedAt time.Duration
+	}
+)
+
+// pauseLimit is the time between two calls from which on this VM was paused, and graceAfter how
+// long reports are refused then: they may have waited for it since they were sent.
+const (
+	pauseLimit = time.Second
+	graceAfter = 300 * time.Millisecond
+)
+
+// New returns the board of the VM called self. run differs in each run of the VM.
+func New(self string, run uint32) *Board {
+	return &Board{
+		self: self, run: run, vms: map[string]VM{}, domainVMs: map[string]int{}, upstreams: map[uint64]Upstream{},
+		services: map[string]int{}, own: map[uint64]*record{}, ownService: map[string]*serviceRecord{},
+		heard: map[string]*source{}, subjects: map[uint64]*subject{},
+	}
+}
+
+// SetVMs replaces the VMs whose reports count.
+func (b *Board) SetVMs(vms []VM) {
+	clear(b.vms)
+	clear(b.domainVMs)
+	for _, vm := range vms {
+		b.vms[vm.Name] = vm
+		b.domainVMs[vm.Domain]++
+	}
+	for name := range b.heard {
+		if _, ok := b.vms[name]; !ok {
+			delete(b.heard, name)
+		}
+	}
+}
+
+// SetUpstreams replaces the upstreams that evidence may be about. Those that have started anew
+// begin without any.
+func (b *Board) SetUpstreams(upstreams []Upstream) {
+	before := b.upstreams
+	b.upstreams = make(map[uint64]Upstream, len(upstreams))
+	clear(b.services)
+	for _, u := range upstreams {
+		b.upstreams[u.ID] = u
+		b.services[u.Service]++
+	}
+	for id, u := range before {
+		if b.upstreams[id] != u {
+			delete(b.own, id)
+			delete(b.subjects, id)
+		}
+	}
+	for service := range b.ownService {
+		if b.services[service] == 0 {
+			delete(b.ownService, service)
+		}
+	}
+}
+
+// Observe adds what this VM has seen since the last call.
+func (b *Board) Observe(now time.Duration, o Observations) {
+	b.notePause(now)
+	for _, obs := range o.Upstreams {
+		if u, ok := b.upstreams[obs.ID]; ok {
+			b.observeUpstream(now, u, obs.Counts)
+		}
+	}
+	for _, obs := range o.Services {
+		if b.services[obs.Service] > 0 {
+			b.observeService(now, obs)
+		}
+	}
+}
+
+func (b *Board) observeUpstream(now time.Duration, u Upstream, c Counts) {
+	r := b.own[u.ID]
+	if r == nil {
+		r = &record{}
+		b.own[u.ID] = r
+	}
+	r.tally = r.with(now, c)
+	s := b.service(u.Service)
+	s.tally = s.with(now, c)
+	if c.Opened > 0 {
+		r.openedAt = now
+	}
+	if c.Answered > 0 {
+		r.answeredAt, r.streak = now, 0
+		b.noteAnswers(u.ID, c.Answered)
+		b.urgent = b.urgent || b.doubted(u.ID) // others may be about to eject it
+	}
+	if c.Failures() > 0 {
+		r.failedAt = now
+		if r.streak == 0 && c.Answered == 0 {
+			r.streak = now
+		}
+		b.subject(u.ID, now).ownFailure = now
+	}
+	if v := r.value(now); c.Failures()+c.Slow > 0 && bad(v) {
+		b.subject(u.ID, now)
+		b.changed = true
+		b.urgent = b.urgent || c.Failures() > 0 || b.named[u.ID] == 0
+	}
+}
+
+func (b *Board) observeService(now time.Duration, obs ServiceObservation) {
+	s := b.service(obs.Service)
+	s.waited = s.waited.with(now, Counts{Answered: obs.Waited.Seconds()})
+	s.load = obs.Load
+	s.refused = s.refused*math.Exp(-float64(now-s.refusedAt)/float64(refusedSpan)) + float64(obs.Refused)
+	s.refusedAt = now
+}
+
+func (b *Board) service(name string) *serviceRecord {
+	s := b.ownService[name]
+	if s == nil {
+		s = &serviceRecord{}
+		b.ownService[name] = s
+	}
+	return s
+}
+
+// ownUsual returns the mean response time of a service as seen by this VM, or 0.
+func (b *Board) ownUsual(service string, now time.Duration) time.Duration {
+	s := b.ownService[service]
+	if s == nil {
+		return 0
+	}
+	answered := s.value(now).Answered
+	if answered < 1 {
+		return 0
+	}
+	return time.Duration(s.waited.value(now).Answered / answered * float64(time.Second))
+}
+
+// notePause notes that this VM was paused. Reports that have waited for it look recent.
+func (b *Board) notePause(now time.Duration) {
+	if b.lastCall > 0 && now-b.lastCall >= pauseLimit {
+		b.pausedAt = now
+	}
+	b.lastCall = now
+}
+
+// expire forgets what is too old to count.
+func (b *Board) expire(now time.Duration) {
+	for id, r := range b.own {
+		if now-r.at > reportAge {
+			delete(b.own, id)
+		}
+	}
+	for name, s := range b.heard {
+		if now-s.at > reportAge {
+			delete(b.heard, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/sparevidence/merge.go
@@ -0,0 +1,237 @@
+package sparevidence
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// merger merges the evidence of all VMs at one time.
+	merger struct {
+		board   *Board
+		now     time.Duration
+		sick    bool     // most upstreams fail for this VM
+		names   []string // of the VMs that count, in order
+		sources []*source
+		rest    map[string]Counts // of peers, by service
+	}
+
+	// view is what one VM has seen of an upstream.
+	view struct {
+		name       string
+		counts     Counts
+		streak     time.Duration // first failure since its last answer, or 0
+		answeredAt time.Duration
+		failedAt   time.Duration
+		own        bool
+	}
+
+	// merged is the evidence about one upstream.
+	merged struct {
+		id        uint64
+		counts    Counts
+		views     []view
+		inARow    float64       // failures since the last answer to each VM
+		onset     time.Duration // since when two VMs have seen nothing but failures, or 0
+		failing   int           // VMs that have seen failures
+		slow      int           // VMs that have seen slow answers
+		witnesses []string      // VMs of either kind
+		unanimous bool          // each VM that reports to this one has seen nothing but failures
+		split     bool          // it has answered a VM since onset
+		refuted   bool          // it has answered this VM since the others saw it fail
+		denied    bool          // it has answered this VM several times since
+	}
+)
+
+// newMerger returns a merger of the evidence that counts now. A VM for which most upstreams fail
+// does not count, unless it is so for all.
+func (b *Board) newMerger(now time.Duration) *merger {
+	m := &merger{board: b, now: now, rest: map[string]Counts{}}
+	seen, bad := b.seen(now)
+	m.sick = Report{Seen: seen, Bad: bad}.sick()
+	allSick := m.sick && len(b.heard) > 0
+	for _, s := range b.heard {
+		allSick = allSick && s.sick
+	}
+	m.sick = m.sick && !allSick
+	for name, s := range b.heard {
+		if allSick || !s.sick {
+			m.names = append(m.names, name)
+		}
+	}
+	slices.Sort(m.names)
+	for _, name := range m.names {
+		m.sources = append(m.sources, b.heard[name])
+	}
+	return m
+}
+
+// seen returns how many upstreams this VM has seen lately, and how many of them have answered
+// nothing.
+func (b *Board) seen(now time.Duration) (seen, bad int) {
+	for _, r := range b.own {
+		c := r.value(now)
+		if c.samples() < witnessed {
+			continue
+		}
+		seen++
+		if c.FailureRatio() >= failedRatio {
+			bad++
+		}
+	}
+	return seen, bad
+}
+
+// merge returns the evidence about an upstream.
+func (m *merger) merge(id uint64) (e merged) {
+	e = merged{id: id}
+	e.views = m.views(id)
+	e.onset = onset(e.views)
+	agreeing := 0
+	for _, v := range e.views {
+		e.add(v)
+		if v.streak > 0 {
+			agreeing++
+		}
+	}
+	others := m.board.expected()
+	e.unanimous = others > 0 && agreeing == len(e.views) && agreeing >= others
+	m.refute(&e)
+	return e
+}
+
+// failedSince returns how many other VMs have seen failures since a time.
+func (e merged) failedSince(since time.Duration) (n int) {
+	for _, v := range e.views {
+		if !v.own && v.failedAt > since {
+			n++
+		}
+	}
+	return n
+}
+
+// answeredSince returns how many other VMs have had answers since a time.
+func (e merged) answeredSince(since time.Duration) (n float64) {
+	for _, v := range e.views {
+		if !v.own && v.answeredAt > since {
+			n++
+		}
+	}
+	return n
+}
+
+// views returns what each VM that counts has seen of an upstream.
+func (m *merger) views(id uint64) (views []view) {
+	cleared := m.board.subjects[id].clearedAt
+	for i, s := range m.sources {
+		h, ok := s.entries[id]
+		if ok && (cleared == 0 || h.failedAt > cleared) {
+			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, answeredAt: h.answeredAt, failedAt: h.failedAt})
+		}
+	}
+	if r := m.board.own[id]; r != nil && !m.sick {
+		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
+	}
+	return views
+}
+
+// onset returns the time since which two VMs have seen nothing but failures, or 0.
+func onset(views []view) time.Duration {
+	var streaks []time.Duration
+	for _, v := range views {
+		if v.streak > 0 {
+			streaks = append(streaks, v.streak)
+		}
+	}
+	if len(streaks) < 2 {
+		return 0
+	}
+	slices.Sort(streaks)
+	return streaks[1]
+}
+
+// add adds what one VM has seen.
+func (e *merged) add(v view) {
+	c := v.counts.bounded()
+	e.counts = e.counts.plus(c)
+	failing, slow := c.Failures() >= witnessed, c.Slow >= witnessed
+	switch {
+	case v.streak > 0:
+		e.inARow += max(1, c.Failures())
+	case e.onset > 0 && v.answeredAt > e.onset:
+		e.split = true
+	}
+	if failing {
+		e.failing++
+	}
+	if slow {
+		e.slow++
+	}
+	if failing || slow {
+		e.witnesses = append(e.witnesses, v.name)
+	}
+}
+
+// refute notes whether this VM has had answers since others see nothing but failures: then the
+// upstream has not failed, but they don't reach it.
+func (m *merger) refute(e *merged) {
+	r := m.board.own[e.id]
+	if r == nil || e.onset == 0 || r.streak > 0 {
+		return
+	}
+	good := r.answeredAt
+	if e.counts.Failed < witnessed {
+		good = max(good, r.openedAt)
+	}
+	c := r.value(m.now)
+	e.refuted = good > e.onset
+	e.split = e.split || e.refuted
+	e.denied = e.refuted && c.Failures() < witnessed && c.Answered+c.Opened >= trialAnswers
+}
+
+// peers returns the counts of the upstreams of a service about which there is no evidence, with
+// equal parts of all VMs.
+func (m *merger) peers(service string) Counts {
+	if c, ok := m.rest[service]; ok {
+		return c
+	}
+	c := m.board.others(service, m.now).bounded()
+	for _, s := range m.sources {
+		c = c.plus(s.services[service].Others.times(decay(m.now - s.at)).bounded())
+	}
+	m.rest[service] = c
+	return c
+}
+
+// others returns what this VM has seen of the upstreams of a service that are no subjects, or of
+// all of them if most are: then the service is overloaded or most of it fails.
+func (b *Board) others(service string, now time.Duration) Counts {
+	s := b.ownService[service]
+	if s == nil {
+		return Counts{}
+	}
+	total := s.value(now)
+	c, subjects := total, 0
+	for id := range b.subjects {
+		if b.upstreams[id].Service != service {
+			continue
+		}
+		subjects++
+		if r := b.own[id]; r != nil {
+			c = c.plus(r.value(now).times(-1))
+		}
+	}
+	if 2*subjects > b.services[service] {
+		return total
+	}
+	return c.atLeastZero()
+}
+
+// atLeastZero removes the rounding errors of a difference.
+func (c Counts) atLeastZero() Counts {
+	c.Answered = max(0, c.Answered)
+	return Counts{
+		Opened: max(0, c.Opened), Unanswered: max(0, c.Unanswered),
+		Answered: c.Answered, Slow: min(max(0, c.Slow), c.Answered), Failed: max(0, c.Failed),
+	}
+}
