--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -15,7 +15,8 @@
 
 type (
 	// Input is a decoded datagram. It is a sealed interface: Report, Message,
-	// ReceivedNotification, ReceivedReceipt, ReceivedQuery or ReceivedDeparture.
+	// ReceivedNotification, ReceivedReceipt, ReceivedQuery, ReceivedDeparture or
+	// ReceivedEvidence.
 	Input interface {
 		input()
 	}
@@ -111,6 +112,8 @@
 		return decodeQuery(body.Query)
 	case *Datagram_Departure:
 		return decodeDeparture(body.Departure)
+	case *Datagram_Evidence:
+		return decodeEvidence(body.Evidence)
 	}
 	return nil, errors.New("no body")
 }
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -11,8 +11,8 @@
 	// the time to a report with new bad evidence.
 	reportEvery = time.Second
 	urgentAfter = 100 * time.Millisecond
-	// maxNamed bounds the upstreams in a report, so that one to each peer fits into the budget.
-	maxNamed = 5
+	// MaxNamed bounds the upstreams in a report, so that one to each peer fits into the budget.
+	MaxNamed = 5
 
 	// An upstream is named if it fails from this share on, or is slow from that share on.
 	namedFailures = 0.1
@@ -93,7 +93,7 @@
 		}
 		return cmp.Or(cmp.Compare(b.named[x], b.named[y]), cmp.Compare(x, y))
 	})
-	return ids[:min(len(ids), maxNamed)]
+	return ids[:min(len(ids), MaxNamed)]
 }
 
 // news reports whether there is something new about an upstream that others should know at once.
