sparcookie, sparentry: evidence about upstreams is shared and weighs new flows

Engines count what they see of each upstream: openings, requests, slow and overdue ones, compared with the usual response time of the service. The load of a service rides along while it is near its capacity.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -109,6 +109,7 @@
 		}
 		due++
 		if o.upstream.lastResponse < o.at {
+			e.noteUnopened(o.upstream)
 			e.noteSilent(o)
 		}
 	}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -23,6 +23,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
@@ -56,6 +57,10 @@
 		openings  []opening     // SYNs whose response is not yet due, oldest first
 		checkedAt time.Duration // last check of openings
 		distrust  bool          // suspect failure domains are avoided
+		services  map[string]*serviceState
+		observed  []*upstream // with counts for the next Observations
+		pressed   bool
+		loadAt    time.Duration // last count of the requests under way
 		slot      int           // of this VM, in the ranking of upstreams to probe
 		flows     map[flowKey]*flow
 		maxFlows  int
@@ -98,8 +103,13 @@
 		health          sparhealth.Health
 		lastSYN         time.Duration
 		domain          *domainState
-		silentAt        time.Duration // when it was last found to leave a SYN unanswered
-		easedUntil      time.Duration // end of the time after its return in which it gets less load
+		service         *serviceState
+		weight          float64             // by the evidence of several VMs, 0 if that ejects it
+		pending         int                 // requests under way of flows on record
+		seen            sparevidence.Counts // since the last Observations
+		isObserved      bool                // it is in Engine.observed
+		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
+		easedUntil      time.Duration       // end of the time after its return in which it gets less load
 	}
 )
 
@@ -110,7 +120,7 @@
 		name: name, domain: domain, maxFlows: maxFlows, slot: int(uint32(sparrank.Hash(name))),
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
-		domains: map[string]*domainState{},
+		domains: map[string]*domainState{}, services: map[string]*serviceState{},
 	}
 }
 
@@ -162,12 +172,15 @@
 		if u.Draining != entry.Draining || u.removed || u.unusable {
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
+		if u.removed {
+			u.weight = 1 // the evidence ended with its entry
+		}
 		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
 		if entry.Warm == 0 {
 			u.warmUntil = 0
 		}
-		u.domain = e.domainOf(u.Domain)
+		u.domain, u.service = e.domainOf(u.Domain), e.serviceOf(u.Service)
 		e.addToPool(u)
 	}
 	for _, entry := range r.Unusable {
@@ -181,6 +194,7 @@
 		}
 	}
 	e.countUsable()
+	e.forgetServices()
 }
 
 // keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
@@ -214,7 +228,7 @@
 // addUpstream adds an upstream that is new or has restarted. The records of flows from
 // before a restart are deleted.
 func (e *Engine) addUpstream(prev *upstream, entry sparroster.Upstream) *upstream {
-	u := &upstream{Upstream: entry}
+	u := &upstream{Upstream: entry, weight: 1}
 	if prev != nil {
 		u.cookie = prev.cookie
 		for key, f := range e.flows {
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -36,6 +36,7 @@
 		nextSeq      uint32        // sequence number after the last data seen
 		ack          uint32        // highest acknowledgement seen
 		relayCopies  int           // packets also sent through another VM
+		overdue      bool          // the pending request has counted as overdue
 		opened       bool
 		closed       bool
 	}
@@ -65,6 +66,7 @@
 		f.opened = true
 		f.ack, f.nextSeq = s.Ack, s.Seq
 		obs = observation{answered: true, first: true, waited: e.now - f.began}
+		e.noteOpened(f.upstream)
 		e.noteProgress(f)
 	}
 	if seqAfter(s.Ack, f.ack) {
@@ -73,6 +75,7 @@
 		if f.requestedAt > 0 {
 			obs.waited = e.now - f.requestedAt
 		}
+		e.noteResponse(f)
 		f.requestedAt = 0
 		e.noteProgress(f)
 	}
@@ -86,6 +89,7 @@
 	}
 	if waited := e.now - max(f.requestedAt, f.lastProgress); waited >= minRetransmitAge {
 		obs.retransmitted, obs.waited = true, waited
+		e.noteOverdue(f)
 		if f.upstream.lastResponse <= f.requestedAt {
 			e.noteUnanswered(f.upstream, f)
 		}
@@ -97,6 +101,7 @@
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
+		e.beginPending(f)
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
 	}
@@ -111,6 +116,7 @@
 	if f.requestedAt == 0 || waited < minRetransmitAge {
 		return 0, false
 	}
+	e.noteGivenUp(f)
 	f.requestedAt = 0
 	e.stats.Abandoned++
 	f.upstream.abandoned.add(e.now, abandonedSpan)
@@ -160,6 +166,7 @@
 // close removes f from the load of its upstream. Its last packets are still forwarded.
 func (e *Engine) close(f *flow) {
 	if !f.closed {
+		e.endPending(f)
 		f.closed = true
 		f.upstream.flows--
 	}
@@ -178,6 +185,7 @@
 // sweepFlows deletes the records of flows that have ended.
 func (e *Engine) sweepFlows() {
 	for key, f := range e.flows {
+		e.noteOverdue(f)
 		idle := e.now - f.lastSeen
 		switch {
 		case f.closed && idle > openTimeout,
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -51,6 +51,7 @@
 	}
 	u := e.choose(rec, key, nil)
 	if u == nil {
+		e.noteRefused(rec)
 		return e.reset(NoUpstream, nil)
 	}
 	e.recordSYN(key, u, e.now)
--- /dev/null
+++ b/internal/route/sparcookie/observe.go
@@ -0,0 +1,182 @@
+package sparcookie
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
+)
+
+const (
+	// overdueFactor times the usual response time of its service is the age at which a request is
+	// overdue, and slowFactor times it the one from which on an answer is slow.
+	overdueFactor = 8
+	slowFactor    = 4
+	// loadInterval is the time between two counts of the requests under way.
+	loadInterval = time.Second
+	// pressedShare is the part of the slots of a service at work from which on the load is worth
+	// telling other VMs.
+	pressedShare = 0.5
+)
+
+// serviceState is what this VM sees of a service.
+type serviceState struct {
+	usual   time.Duration  // response time, as told by SetUsual
+	waited  time.Duration  // by the requests answered since the last Observations
+	refused int            // openings refused since then
+	load    map[string]int // requests under way, by failure domain, at the last count
+}
+
+// SetWeight sets the weight of an upstream for new flows by the evidence of several VMs, between
+// 0 for an ejected one and 1.
+func (e *Engine) SetWeight(id uint64, weight float64) {
+	if u := e.upstreams[id]; u != nil {
+		u.weight = min(1, max(0, weight))
+	}
+}
+
+// SetUsual sets the usual response time of a service, 0 if it is not known.
+func (e *Engine) SetUsual(service string, d time.Duration) { e.serviceOf(service).usual = d }
+
+func (e *Engine) serviceOf(name string) *serviceState {
+	s := e.services[name]
+	if s == nil {
+		s = &serviceState{}
+		e.services[name] = s
+	}
+	return s
+}
+
+// forgetServices deletes the state of services without upstreams in the roster.
+func (e *Engine) forgetServices() {
+	for name := range e.services {
+		if e.pools[name] == nil {
+			delete(e.services, name)
+		}
+	}
+}
+
+// Services returns the services with upstreams in the roster, in any order.
+func (e *Engine) Services() []string { return slices.Collect(maps.Keys(e.services)) }
+
+// Observations returns what this VM has seen of upstreams and services since the last call.
+func (e *Engine) Observations() (o sparevidence.Observations) {
+	for _, u := range e.observed {
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen})
+		u.seen, u.isObserved = sparevidence.Counts{}, false
+	}
+	e.observed = e.observed[:0]
+	counted := e.countLoad()
+	for name, s := range e.services {
+		if s.waited == 0 && s.refused == 0 && !counted {
+			continue
+		}
+		o.Services = append(o.Services, sparevidence.ServiceObservation{Service: name, Waited: s.waited, Refused: s.refused, Load: s.load})
+		s.waited, s.refused = 0, 0
+	}
+	return o
+}
+
+// countLoad counts the requests under way, if that is due.
+func (e *Engine) countLoad() (counted bool) {
+	if e.now-e.loadAt < loadInterval {
+		return false
+	}
+	e.loadAt, e.pressed = e.now, false
+	for name, p := range e.pools {
+		s := e.serviceOf(name)
+		s.load = map[string]int{}
+		pending, slots := 0, 0
+		for _, u := range p.all {
+			slots += u.Slots
+			if u.pending > 0 {
+				s.load[u.Domain] += u.pending
+				pending += u.pending
+			}
+		}
+		vms := len(e.relays) + 1
+		e.pressed = e.pressed || s.refused > 0 || float64(pending*vms) >= pressedShare*float64(slots) && pending > 0
+	}
+	return true
+}
+
+// Pressed reports whether a service was near its capacity at the last count, if the other VMs have as
+// many requests under way as this one.
+func (e *Engine) Pressed() bool { return e.pressed }
+
+// seenOf returns the counts of u to add to.
+func (e *Engine) seenOf(u *upstream) *sparevidence.Counts {
+	if !u.isObserved {
+		u.isObserved = true
+		e.observed = append(e.observed, u)
+	}
+	return &u.seen
+}
+
+// noteOpened counts an opening that was answered.
+func (e *Engine) noteOpened(u *upstream) { e.seenOf(u).Opened++ }
+
+// noteUnopened counts a SYN without an answer in time.
+func (e *Engine) noteUnopened(u *upstream) { e.seenOf(u).Unanswered++ }
+
+// noteResponse counts the response to the pending request of f, if there is one.
+func (e *Engine) noteResponse(f *flow) {
+	if f.requestedAt == 0 {
+		return
+	}
+	e.endPending(f)
+	u, waited := f.upstream, e.now-f.requestedAt
+	counts, s := e.seenOf(u), u.service
+	counts.Answered++
+	s.waited += waited
+	if s.usual > 0 && waited > slowFactor*s.usual {
+		counts.Slow++
+	}
+}
+
+// noteOverdue counts the pending request of f once it is overdue, compared with other requests.
+func (e *Engine) noteOverdue(f *flow) {
+	usual := f.upstream.service.usual
+	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 {
+		return
+	}
+	if e.now-f.requestedAt >= max(minRetransmitAge, overdueFactor*usual) {
+		f.overdue = true
+		e.seenOf(f.upstream).Failed++
+	}
+}
+
+// noteGivenUp counts a request that its client has given up, unless it was overdue before.
+func (e *Engine) noteGivenUp(f *flow) {
+	e.endPending(f)
+	usual := f.upstream.service.usual
+	if !f.overdue && e.now-f.requestedAt >= overdueFactor*usual {
+		e.seenOf(f.upstream).Failed++
+	}
+}
+
+// noteRefused counts an opening that no upstream of a route takes.
+func (e *Engine) noteRefused(rec *routeRecord) {
+	for _, t := range rec.route.Targets {
+		if t.Weight > 0 && e.pools[t.Service] != nil {
+			e.serviceOf(t.Service).refused++
+			return
+		}
+	}
+}
+
+// beginPending counts a new request as under way, unless its flow is not on record.
+func (e *Engine) beginPending(f *flow) {
+	f.overdue = false
+	if !f.closed {
+		f.upstream.pending++
+	}
+}
+
+// endPending ends the pending request of f, if it counts as under way.
+func (e *Engine) endPending(f *flow) {
+	if f.requestedAt > 0 && !f.closed {
+		f.upstream.pending--
+	}
+}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 )
 
 const (
@@ -143,7 +144,7 @@
 		return tierNone
 	case !u.health.AcceptsFlows(), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
-	case e.distrust && u.unproven():
+	case e.distrust && u.unproven(), u.weight == 0:
 		return tierUnhealthy
 	case u.Domain == e.domain && (u.domain.preferable() || !e.distrust):
 		return tierLocal
@@ -155,15 +156,15 @@
 // reached spillThreshold. It assumes that the other VMs of the domain forward as many
 // requests as this one.
 func (e *Engine) domainFull(local []*upstream) bool {
-	requests, slots := 0.0, 0
+	requests, slots := 0.0, 0.0
 	for _, u := range local {
 		if e.tierOf(u) == tierLocal {
 			requests += u.rate.value(e.now, rateSpan)
-			slots += u.Slots
+			slots += float64(u.Slots) * u.weight
 		}
 	}
 	busy := requests * float64(typicalServiceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
-	return busy >= spillThreshold*float64(slots)
+	return busy >= spillThreshold*slots
 }
 
 // score returns the load of u per slot. A fraction below 1 that depends on the flow breaks
@@ -171,7 +172,7 @@
 func (e *Engine) score(u *upstream, key flowKey) float64 {
 	load := float64(u.flows) + 2*u.recent.value(e.now, recentSpan) + abandonedWeight*u.abandoned.value(e.now, abandonedSpan)
 	load += float64(sparrank.Weight(int(uint32(key.client)), u.ID)>>40) / (1 << 24)
-	capacity := float64(u.Slots)
+	capacity := float64(u.Slots) * max(u.weight, sparevidence.Trickle)
 	if e.now < u.warmUntil {
 		capacity *= warmingShare
 	}
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -134,6 +134,19 @@
 	return changes
 }
 
+// Weighed returns how many upstreams are ejected by evidence, and how many get less load.
+func (b *Board) Weighed() (ejected, eased int) {
+	for _, s := range b.subjects {
+		switch {
+		case s.weight == 0:
+			ejected++
+		case s.weight < 1:
+			eased++
+		}
+	}
+	return ejected, eased
+}
+
 // publish sets the weight of a subject. Small changes are not worth telling.
 func (b *Board) publish(id uint64, o opinion) (c Change, changed bool) {
 	const least = 0.1
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -137,6 +137,7 @@
 		platformAt   sparregistry.Position // of the last read of this VM
 		age          time.Duration         // of the settings, at the last tick or datagram
 		leave        sparleave.Leave
+		reporter     *reporter
 	}
 )
 
@@ -159,6 +160,7 @@
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), rand.Uint32(), carrier.Bound(), carrier.Beat), carrier: carrier,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
+		reporter:  newReporter(file.Name),
 		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
 	}
 	vm.buffers.New = func() any { return new(packet) }
@@ -294,6 +296,7 @@
 	}
 	vm.register(now)
 	vm.coordinateLeave(now)
+	vm.shareEvidence(now)
 	vm.logState(state)
 	vm.logEvents()
 	vm.metrics.publish(vm)
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -48,6 +48,7 @@
 	}
 	m.published = now
 	m.publishVerdicts(vm.engine.Stats())
+	vm.reporter.publish(m)
 	for cause, n := range m.badPackets {
 		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
 	}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -91,6 +91,8 @@
 		vm.perform(vm.sync.Queried(d.Query, now), now)
 	case sparcontrol.ReceivedDeparture:
 		vm.leave.Received(d.Departure, now)
+	case sparcontrol.ReceivedEvidence:
+		vm.receiveReport(d.Report, now)
 	case sparcontrol.ReceivedReceipt:
 		vm.sync.Confirmed(d.From, d.Timing, now)
 	default:
@@ -146,6 +148,7 @@
 	before := vm.engine.Roster()
 	roster := before.With(next, platform.Decode)
 	vm.engine.Apply(roster)
+	vm.shareRoster(roster)
 	vm.sync.List(roster.VMs, vm.clock.now())
 	vm.logSettings(before, roster, from)
 	if !vm.synced {
