--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -100,6 +100,7 @@
 func (e *Engine) checkOpenings() {
 	if e.now-e.checkedAt >= pauseLimit {
 		e.openings = e.openings[:0]
+		e.pausedAt = e.now
 	}
 	e.checkedAt = e.now
 	due := 0
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -56,6 +56,7 @@
 		domains   map[string]*domainState
 		openings  []opening     // SYNs whose response is not yet due, oldest first
 		checkedAt time.Duration // last check of openings
+		pausedAt  time.Duration // end of the last pause of this VM
 		distrust  bool          // suspect failure domains are avoided
 		services  map[string]*serviceState
 		observed  []*upstream // with counts for the next Observations
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -13,6 +13,8 @@
 	// overdue, and slowFactor times it the one from which on an answer is slow.
 	overdueFactor = 8
 	slowFactor    = 4
+	// catchUpTime is how long this VM needs after a pause to read the responses that have waited.
+	catchUpTime = 300 * time.Millisecond
 	// loadInterval is the time between two counts of the requests under way.
 	loadInterval = time.Second
 	// pressedShare is the part of the slots of a service at work from which on the load is worth
@@ -138,7 +140,7 @@
 // noteOverdue counts the pending request of f once it is overdue, compared with other requests.
 func (e *Engine) noteOverdue(f *flow) {
 	usual := f.upstream.service.usual
-	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 {
+	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 || e.now-e.pausedAt < catchUpTime {
 		return
 	}
 	if e.now-f.requestedAt >= max(minRetransmitAge, overdueFactor*usual) {
--- a/internal/route/sparcookie/observe_test.go
+++ b/internal/route/sparcookie/observe_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// TestNothingIsOverdueAfterAPause pauses a VM with requests under way: their responses wait to be
+// read.
+func TestNothingIsOverdueAfterAPause(t *testing.T) {
+	f := newFixture(t)
+	f.engine.SetUsual(booking, 30*time.Millisecond)
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.ackHandshake()
+	c.request()
+	f.pause(3 * time.Second)
+	c.ackResponse()
+	if got := sum(f.engine.Observations()); got.Failed > 0 {
+		t.Errorf("%+v, want no failure", got)
+	}
+}
+
 // TestRequestsUnderWay checks the load that this VM tells: each request counts until its end.
 func TestRequestsUnderWay(t *testing.T) {
 	f := newFixture(t)
--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -50,7 +50,7 @@
 		sums[b.vms[name].Domain] = sum
 	}
 	for domain, sum := range sums {
-		scale := float64(b.domainVMs[domain]) / float64(sum.vms)
+		scale := float64(max(b.domainVMs[domain], sum.vms)) / float64(sum.vms)
 		l.VMs += sum.vms
 		l.Requests += sum.requests * scale
 		l.Refused += sum.refused * scale
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,8 @@
 type reporter struct {
 	board     *sparevidence.Board
 	budget    sparevidence.Budget
+	vms       []sparconfig.VM // as listed
+	upstreams []sparevidence.Upstream
 	peers     []sparconfig.VM // that reports go to
 	far       []sparconfig.VM // that are told the load as well
 	next      int             // index of the peer to begin with
@@ -43,20 +46,34 @@
 // shareRoster tells the board the settings in force.
 func (vm *VM) shareRoster(roster sparroster.Roster) {
 	r := vm.reporter
-	self := vm.file.VM()
+	if !slices.Equal(roster.VMs, r.vms) {
+		r.vms = roster.VMs
+		vm.setPeers(roster.VMs)
+	}
+	same := slices.EqualFunc(roster.Upstreams, r.upstreams, func(u sparroster.Upstream, b sparevidence.Upstream) bool {
+		return u.ID == b.ID && u.Born == b.Born && u.Service == b.Service
+	})
+	if same {
+		return
+	}
+	r.upstreams = make([]sparevidence.Upstream, 0, len(roster.Upstreams))
+	for _, u := range roster.Upstreams {
+		r.upstreams = append(r.upstreams, sparevidence.Upstream{ID: u.ID, Born: u.Born, Service: u.Service})
+	}
+	r.board.SetUpstreams(r.upstreams)
+}
+
+// setPeers chooses the VMs that this one reports to.
+func (vm *VM) setPeers(others []sparconfig.VM) {
+	r, self := vm.reporter, vm.file.VM()
 	vms, byName := []sparevidence.VM{{Name: self.Name, Domain: self.Domain}}, map[string]sparconfig.VM{}
-	for _, other := range roster.VMs {
+	for _, other := range others {
 		if other.Name != self.Name {
 			vms = append(vms, sparevidence.VM{Name: other.Name, Domain: other.Domain})
 			byName[other.Name] = other
 		}
 	}
-	var upstreams []sparevidence.Upstream
-	for _, u := range roster.Upstreams {
-		upstreams = append(upstreams, sparevidence.Upstream{ID: u.ID, Born: u.Born, Service: u.Service})
-	}
 	r.board.SetVMs(vms)
-	r.board.SetUpstreams(upstreams)
 	r.peers, r.far = nil, nil
 	for _, name := range r.board.Peers(true) {
 		if other := byName[name]; other.Domain == self.Domain {
