--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
@@ -51,6 +53,16 @@
 		pools     map[string]*pool // upstreams in the roster, by service
 		domainVMs int              // VMs of this failure domain, this one included
 		relays    []relay          // other VMs
+		domains   map[string]*domainState
+		openings  []opening     // SYNs whose response is not yet due, oldest first
+		checkedAt time.Duration // last check of openings
+		pausedAt  time.Duration // end of the last pause of this VM
+		distrust  bool          // suspect failure domains are avoided
+		services  map[string]*serviceState
+		observed  []*upstream // with counts for the next Observations
+		pressed   bool
+		loadAt    time.Duration // last count of the requests under way
+		slot      int           // of this VM, in the ranking of upstreams to probe
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -72,8 +84,9 @@
 
 	// pool is the upstreams of a service that are in the roster, ordered by ID.
 	pool struct {
-		local []*upstream // in the failure domain of this VM
-		all   []*upstream
+		local   []*upstream // in the failure domain of this VM
+		all     []*upstream
+		domains []*domainState // with upstreams of the service, the one of this VM first
 	}
 
 	// upstream is a server with the observations of this VM.
@@ -97,6 +110,14 @@
 		races           lostRaces
 		avoidedAt       time.Duration // when an opening at it was last due for a hedge
 		quota           *warmQuota    // nil if its service has no warm rate
+		domain          *domainState
+		service         *serviceState
+		weight          float64             // by the evidence of several VMs, 0 if that ejects it
+		pending         int                 // requests under way of flows on record
+		seen            sparevidence.Counts // since the last Observations
+		isObserved      bool                // it is in Engine.observed
+		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
+		easedUntil      time.Duration       // end of the time after its return in which it gets less load
 	}
 )
 
@@ -104,9 +125,10 @@
 // of at most maxFlows flows.
 func New(name, domain string, maxFlows int) *Engine {
 	return &Engine{
-		name: name, domain: domain, maxFlows: maxFlows,
+		name: name, domain: domain, maxFlows: maxFlows, slot: int(uint32(sparrank.Hash(name))),
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
+		domains: map[string]*domainState{}, services: map[string]*serviceState{},
 	}
 }
 
@@ -159,11 +181,15 @@
 		if u.Draining != entry.Draining || u.removed || u.unusable {
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
+		if u.removed {
+			u.weight = 1 // the evidence ended with its entry
+		}
 		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
 		if entry.Warm == 0 {
 			u.warmUntil = 0
 		}
+		u.domain, u.service = e.domainOf(u.Domain), e.serviceOf(u.Service)
 		e.addToPool(u)
 	}
 	for _, entry := range r.Unusable {
@@ -176,6 +202,8 @@
 			e.emit(UpstreamRemoved{Upstream: u.Upstream})
 		}
 	}
+	e.countUsable()
+	e.forgetServices()
 }
 
 // keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
@@ -203,12 +231,13 @@
 	if u.Domain == e.domain {
 		p.local = append(p.local, u)
 	}
+	p.addDomain(u.domain, u.Domain == e.domain)
 }
 
 // addUpstream adds an upstream that is new or has restarted. The records of flows from
 // before a restart are deleted.
 func (e *Engine) addUpstream(prev *upstream, entry sparroster.Upstream) *upstream {
-	u := &upstream{Upstream: entry}
+	u := &upstream{Upstream: entry, weight: 1}
 	if prev != nil {
 		u.cookie = prev.cookie
 		u.quota = prev.quota // its openings of the last second still count
@@ -226,6 +255,7 @@
 // Tick runs the work that is due at the current time: it ends ejections, so that a SYN can
 // probe the upstream, and deletes expired records.
 func (e *Engine) Tick() {
+	e.checkOpenings()
 	for _, u := range e.upstreams {
 		if !u.removed && u.health.Tick(e.now, 0) {
 			u.pendingSince = 0 // only the SYN of the probe counts from here on
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -36,6 +36,7 @@
 		nextSeq      uint32        // sequence number after the last data seen
 		ack          uint32        // highest acknowledgement seen
 		relayCopies  int           // packets also sent through another VM
+		overdue      bool          // the pending request has counted as overdue
 		opened       bool
 		prepaid      bool // its next request has counted as its opening
 		closed       bool
@@ -67,7 +68,8 @@
 		f.opened = true
 		f.ack, f.nextSeq = s.Ack, s.Seq
 		obs = observation{answered: true, first: true, waited: e.now - f.began}
-		e.noteOpening(obs.waited)
+		e.recordOpening(obs.waited)
+		e.noteOpened(f.upstream)
 		e.noteProgress(f)
 	}
 	if seqAfter(s.Ack, f.ack) {
@@ -76,6 +78,7 @@
 		if f.requestedAt > 0 {
 			obs.waited = e.now - f.requestedAt
 		}
+		e.noteResponse(f)
 		f.requestedAt = 0
 		e.noteProgress(f)
 	}
@@ -89,6 +92,7 @@
 	}
 	if waited := e.now - max(f.requestedAt, f.lastProgress); waited >= minRetransmitAge {
 		obs.retransmitted, obs.waited = true, waited
+		e.noteOverdue(f)
 		if f.upstream.lastResponse <= f.requestedAt {
 			e.noteUnanswered(f.upstream, f)
 		}
@@ -101,6 +105,7 @@
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
 		e.countRequest(f)
+		e.beginPending(f)
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
 		e.limiter(f.upstream.Service).Request(e.now)
@@ -116,6 +121,7 @@
 	if f.requestedAt == 0 || waited < minRetransmitAge {
 		return 0, false
 	}
+	e.noteGivenUp(f)
 	f.requestedAt = 0
 	e.stats.Abandoned++
 	f.upstream.abandoned.add(e.now, abandonedSpan)
@@ -126,6 +132,7 @@
 func (e *Engine) noteProgress(f *flow) {
 	f.lastProgress = e.now
 	u := f.upstream
+	e.noteAnswer(u)
 	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
 	e.noteBack(u, u.health.Answered(e.now))
 }
@@ -164,6 +171,7 @@
 // close removes f from the load of its upstream. Its last packets are still forwarded.
 func (e *Engine) close(f *flow) {
 	if !f.closed {
+		e.endPending(f)
 		f.closed = true
 		f.upstream.flows--
 	}
@@ -182,6 +190,7 @@
 // sweepFlows deletes the records of flows that have ended.
 func (e *Engine) sweepFlows() {
 	for key, f := range e.flows {
+		e.noteOverdue(f)
 		idle := e.now - f.lastSeen
 		switch {
 		case f.closed && idle > openTimeout,
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -54,6 +54,7 @@
 	}
 	u := e.choose(rec, key, nil)
 	if u == nil {
+		e.noteRefused(rec)
 		return e.refuseSYN(rec)
 	}
 	e.recordSYN(key, u, e.now)
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -184,8 +184,8 @@
 	h.due = append(h.due, Hedge{Slot: item.Slot, From: item.Key.client, To: item.Key.service, First: f.upstream.Upstream, Verdict: v})
 }
 
-// noteOpening records how long an opening took, at whichever upstream.
-func (e *Engine) noteOpening(waited time.Duration) {
+// recordOpening records how long an opening took, at whichever upstream.
+func (e *Engine) recordOpening(waited time.Duration) {
 	if e.hedges != nil {
 		e.hedges.times.Record(waited, e.now)
 	}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 )
 
 const (
@@ -73,12 +74,20 @@
 	if p == nil {
 		return nil
 	}
+	e.checkOpenings()
+	e.distrust = !p.allSuspect()
 	full := e.domainFull(p.local, e.serviceTime(service)) || e.queueing(service)
 	if !full {
+		if u := e.probeOwn(p, exclude); u != nil {
+			return e.markPlaced(u)
+		}
 		if u, t := e.bestOf(p.local, key, exclude, false); t == tierLocal {
 			return e.markPlaced(u)
 		}
 	}
+	if u := e.probeOther(p, exclude); u != nil {
+		return e.markPlaced(u)
+	}
 	u, _ := e.bestOf(p.all, key, exclude, full)
 	return e.markPlaced(u)
 }
@@ -86,7 +95,7 @@
 // markPlaced records that a SYN goes to u, which may be nil.
 func (e *Engine) markPlaced(u *upstream) *upstream {
 	if u != nil {
-		u.lastSYN = e.now
+		e.noteOpening(u)
 	}
 	return u
 }
@@ -133,7 +142,9 @@
 		return tierNone
 	case !u.health.AcceptsFlows(), e.unsure(u), e.avoided(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
-	case u.Domain == e.domain:
+	case e.distrust && u.unproven(), u.weight == 0:
+		return tierUnhealthy
+	case u.Domain == e.domain && (u.domain.preferable() || !e.distrust):
 		return tierLocal
 	}
 	return tierRemote
@@ -143,15 +154,15 @@
 // reached spillThreshold, if a request occupies a slot for serviceTime. It assumes that the other
 // VMs of the domain forward as many requests as this one.
 func (e *Engine) domainFull(local []*upstream, serviceTime time.Duration) bool {
-	requests, slots := 0.0, 0
+	requests, slots := 0.0, 0.0
 	for _, u := range local {
 		if e.tierOf(u) == tierLocal {
 			requests += u.rate.value(e.now, rateSpan)
-			slots += u.Slots
+			slots += float64(u.Slots) * u.weight
 		}
 	}
 	busy := requests * float64(serviceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
-	return busy >= spillThreshold*float64(slots)
+	return busy >= spillThreshold*slots
 }
 
 // score returns the load of u per slot. A fraction below 1 that depends on the flow breaks
@@ -159,9 +170,12 @@
 func (e *Engine) score(u *upstream, key flowKey) float64 {
 	load := float64(u.flows) + 2*u.recent.value(e.now, recentSpan) + abandonedWeight*u.abandoned.value(e.now, abandonedSpan)
 	load += float64(sparrank.Weight(int(uint32(key.client)), u.ID)>>40) / (1 << 24)
-	capacity := float64(u.Slots)
+	capacity := float64(u.Slots) * max(u.weight, sparevidence.Trickle)
 	if e.now < u.warmUntil {
 		capacity *= e.warmingCapacity(u)
 	}
+	if e.now < u.easedUntil {
+		capacity *= easeShare
+	}
 	return load / capacity
 }
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -89,7 +89,8 @@
 	}
 
 	// Event is a change of an upstream. It is a sealed interface: UpstreamUpdated,
-	// UpstreamUnusable, UpstreamRemoved, HealthChanged, WarmHolder or OverloadChanged.
+	// UpstreamUnusable, UpstreamRemoved, HealthChanged, WarmHolder, OverloadChanged or
+	// DomainChanged.
 	Event interface {
 		event()
 	}
@@ -118,10 +119,19 @@
 		Silent   time.Duration // since its last response to any client of this VM
 	}
 
+	// DomainChanged reports that a failure domain is suspect as a whole, or no longer.
+	DomainChanged struct {
+		Domain    string
+		Suspect   bool
+		Upstreams int           // that take new flows; at the end, those that answered again
+		Silent    time.Duration // since the last response of the domain; at the end, since it was suspect
+	}
+
 	// Stats holds counts since the start.
 	Stats struct {
 		Verdicts  [causeCount]uint64
 		Abandoned uint64 // requests that clients gave up unanswered
+		Suspected uint64 // times that a failure domain was suspect as a whole
 
 		WarmOpenings uint64 // sent to upstreams whose openings are limited
 		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
@@ -132,6 +142,7 @@
 func (UpstreamUnusable) event() {}
 func (UpstreamRemoved) event()  {}
 func (HealthChanged) event()    {}
+func (DomainChanged) event()    {}
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -138,6 +138,7 @@
 		age          time.Duration         // of the settings, at the last tick or datagram
 		leave        sparleave.Leave
 		hedges       *hedger // nil if openings are not hedged
+		reporter     *reporter
 	}
 )
 
@@ -160,7 +161,8 @@
 		engine: sparcookie.New(file.Name, file.Domain, file.Flows),
 		sync:   sparsync.New(file.VM(), rand.Uint32(), carrier.Bound(), carrier.Beat), carrier: carrier,
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
-		reachable: true, left: make(chan struct{}), drained: make(chan struct{}), hedges: newHedger(carrier.Hedge),
+		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
+		hedges: newHedger(carrier.Hedge), reporter: newReporter(file.Name),
 	}
 	vm.setWarmLimit()
 	vm.buffers.New = func() any { return new(packet) }
@@ -300,6 +302,7 @@
 	}
 	vm.register(now)
 	vm.coordinateLeave(now)
+	vm.shareEvidence(now)
 	vm.logState(state)
 	vm.logEvents()
 	vm.metrics.publish(vm)
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -89,6 +89,8 @@
 			vm.logUpstream("upstream "+e.State, e.Upstream, logrus.Fields{"silent_ms": e.Silent.Milliseconds()})
 		case sparcookie.OverloadChanged:
 			vm.logOverload(e)
+		case sparcookie.DomainChanged:
+			vm.logDomain(e)
 		}
 	}
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -52,6 +52,7 @@
 	m.publishVerdicts(vm.engine.Stats())
 	m.publishHedges(vm.engine.HedgeStats())
 	m.publishAdmission(vm.engine)
+	vm.reporter.publish(m)
 	for cause, n := range m.badPackets {
 		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
 	}
@@ -88,6 +89,7 @@
 	m.count("lost_requests", stats.Abandoned)
 	m.count("warm_openings", stats.WarmOpenings)
 	m.count("warm_refusals", stats.WarmRefusals)
+	m.count("suspect_domains", stats.Suspected)
 }
 
 // count publishes a counter by its total.
