sparevidence: less work on ticks; what is refuted stays so

Whether a report is due is checked once a second, or 100 ms after new bad evidence; weights are evaluated each 100 ms at most.

An upstream that some VMs reach and others don't was forgotten as such once it had recovered, and the clean views of others with it: it was eased again (TestTwoVMsLoseOneUpstream). One that loses a third of its requests gets a trickle now.

--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -21,7 +21,7 @@
 
 // composer is the part of a board that decides what to report.
 type composer struct {
-	reported time.Duration
+	composed time.Duration            // last time that a report was due
 	urgent   bool                     // there is new bad evidence
 	pressed  bool                     // the load is worth reporting
 	named    map[uint64]time.Duration // when an upstream was named last
@@ -33,14 +33,16 @@
 	if b.urgent {
 		wait = urgentAfter
 	}
-	if b.reported > 0 && now-b.reported < wait {
+	if b.composed > 0 && now-b.composed < wait {
 		return Report{}, false
 	}
+	b.composed = now
+	b.expire(now)
 	ids := b.pickNamed(now)
 	if len(ids) == 0 && !b.pressed {
 		return Report{}, false
 	}
-	b.reported, b.urgent = now, false
+	b.urgent = false
 	r = Report{From: b.self, Run: b.run, Sent: now}
 	r.Seen, r.Bad = b.seen(now)
 	for _, id := range ids {
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -88,6 +88,9 @@
 // Failures returns the openings and requests without an answer.
 func (c Counts) Failures() float64 { return c.Unanswered + c.Failed }
 
+// withoutFailures returns what was answered.
+func (c Counts) withoutFailures() Counts { return Counts{Opened: c.Opened, Answered: c.Answered} }
+
 // samples returns everything that was counted.
 func (c Counts) samples() float64 { return c.Opened + c.Unanswered + c.Answered + c.Failed }
 
--- a/internal/route/sparevidence/evidence_test.go
+++ b/internal/route/sparevidence/evidence_test.go
@@ -16,6 +16,7 @@
 	now := time.Second
 	b.Observe(now, sparevidence.Observations{Upstreams: []sparevidence.Observation{{ID: 7, Counts: sparevidence.Counts{Unanswered: 2}}}})
 	fmt.Println(len(b.Evaluate(now)))
+	now += 100 * time.Millisecond
 	_ = b.Receive(now, sparevidence.Report{From: "vm-2", Run: 1, Sent: now, Seen: 2, Bad: 1, Upstreams: []sparevidence.Entry{
 		{ID: 7, Counts: sparevidence.Counts{Unanswered: 2}, Answered: sparevidence.Never},
 	}})
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -69,7 +69,12 @@
 // answered some VMs and not others lately: this VM may be one of those that reach it.
 func (b *Board) mayEject(s *subject, e merged, m *merger) bool {
 	r := b.own[e.id]
-	return s.splitAt == 0 || m.now-s.splitAt > splitMemory || r != nil && r.streak > 0
+	return !s.splitLately(m.now) || r != nil && r.streak > 0
+}
+
+// splitLately reports whether the upstream answered some VMs and not others lately.
+func (s *subject) splitLately(now time.Duration) bool {
+	return s.splitAt > 0 && now-s.splitAt <= splitMemory
 }
 
 // confirmed reports whether failures in a row are more than chance: there are many, or nobody has
@@ -92,7 +97,7 @@
 func (b *Board) clear(s *subject, id uint64, now time.Duration) {
 	s.clearedAt = now
 	if r := b.own[id]; r != nil {
-		r.tally, r.streak = tally{at: now}, 0
+		r.tally, r.streak = tally{counts: r.value(now).withoutFailures(), at: now}, 0
 	}
 }
 
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -39,7 +39,7 @@
 		unanimous bool          // each VM that reports to this one has seen nothing but failures
 		split     bool          // it has answered a VM since onset
 		refuted   bool          // it has answered this VM since the others saw it fail
-		denied    bool          // it has answered this VM several times since
+		denied    bool          // and it has not failed this VM lately
 	}
 )
 
@@ -125,7 +125,7 @@
 	cleared := m.board.subjects[id].clearedAt
 	for i, s := range m.sources {
 		h, ok := s.entries[id]
-		if ok && (cleared == 0 || h.failedAt > cleared) {
+		if settled := h.failedAt > 0 && h.failedAt <= cleared; ok && !settled {
 			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, answeredAt: h.answeredAt, failedAt: h.failedAt})
 		}
 	}
@@ -183,10 +183,9 @@
 	if e.counts.Failed < witnessed {
 		good = max(good, r.openedAt)
 	}
-	c := r.value(m.now)
 	e.refuted = good > e.onset
 	e.split = e.split || e.refuted
-	e.denied = e.refuted && c.Failures() < witnessed && c.Answered+c.Opened >= trialAnswers
+	e.denied = e.refuted && r.value(m.now).Failures() < witnessed
 }
 
 // peers returns the counts of the upstreams of a service about which there is no evidence, with
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -8,7 +8,9 @@
 
 const (
 	// evaluateEvery is the time between two evaluations without new evidence.
+	// evaluateAfter is the least time between two with it.
 	evaluateEvery = 250 * time.Millisecond
+	evaluateAfter = 100 * time.Millisecond
 
 	// failedRatio is the share of failures from which on hardly anything is answered.
 	failedRatio = 0.9
@@ -16,9 +18,10 @@
 	// ejected unless all VMs agree: demand is above what they can do.
 	crowdedRatio = 0.2
 	// confirmTime is how long two VMs must have seen nothing but failures, and confirmFailures
-	// the number of failures that needs no such wait. Meanwhile others report their answers.
+	// the number of failures that needs no such wait: four recent ones, which have decayed a little.
+	// Meanwhile others report their answers.
 	confirmTime     = time.Second
-	confirmFailures = 4
+	confirmFailures = 3.5
 	// confirmChance is the chance that as many failures in a row are due to what the service
 	// loses anyway.
 	confirmChance = 1e-4
@@ -44,7 +47,7 @@
 	// of its peers and failMargin or slowMargin more; the least if it is rampSpan above that.
 	failMargin = 0.15
 	slowMargin = 0.3
-	rampSpan   = 0.2
+	rampSpan   = 0.15
 )
 
 // Causes of a weight.
@@ -111,7 +114,11 @@
 // Evaluate returns the weights that have changed since the last call.
 func (b *Board) Evaluate(now time.Duration) (changes []Change) {
 	b.notePause(now)
-	if !b.changed && (len(b.subjects) == 0 || now-b.evaluated < evaluateEvery) {
+	wait := evaluateEvery
+	if b.changed {
+		wait = evaluateAfter
+	}
+	if len(b.subjects) == 0 || now-b.evaluated < wait {
 		return nil
 	}
 	b.changed, b.evaluated = false, now
@@ -126,7 +133,7 @@
 		if c, ok := b.publish(id, o); ok {
 			changes = append(changes, c)
 		}
-		if o.settled() && b.subjects[id].weight == 1 {
+		if s := b.subjects[id]; o.settled() && s.weight == 1 && !s.splitLately(now) {
 			delete(b.subjects, id)
 		}
 	}
