--- a/internal/route/sparcookie/observe_test.go
+++ b/internal/route/sparcookie/observe_test.go
@@ -175,17 +175,24 @@
 
 // newMuteFleet returns VMs of one failure domain with ten upstreams.
 func newMuteFleet(t *testing.T, vms int) (fleet []*fleetVM) {
+	var upstreams []sparroster.Upstream
+	for id := range uint64(10) {
+		upstreams = append(upstreams, newUpstream(id+1, "north"))
+	}
+	return newFleet(t, vms, upstreams)
+}
+
+// newFleet returns VMs of the failure domain north.
+func newFleet(t *testing.T, vms int, upstreams []sparroster.Upstream) (fleet []*fleetVM) {
 	var names []sparevidence.VM
 	for n := range vms {
 		names = append(names, sparevidence.VM{Name: fmt.Sprint("vm-", n), Domain: "north"})
 	}
 	for n := range vms {
 		f := newFixture(t)
-		f.upstreams = nil
+		f.upstreams = upstreams
 		var list []sparevidence.Upstream
-		for id := range uint64(10) {
-			u := newUpstream(id+1, "north")
-			f.upstreams = append(f.upstreams, u)
+		for _, u := range upstreams {
 			list = append(list, sparevidence.Upstream{ID: u.ID, Born: u.Born, Service: booking})
 		}
 		f.port = uint16(1000 * n)
@@ -273,3 +280,33 @@
 		vm.forward(c.s)
 	}
 }
+
+// TestDomainRecoversWithEvidence covers a failure domain that is down for 4 s while its VMs share
+// what they see of its upstreams: what they have reported does not delay the return.
+func TestDomainRecoversWithEvidence(t *testing.T) {
+	fleet := newFleet(t, 16, newDomains(t, "north", "east").upstreams)
+	play := func(d time.Duration, silent func(domain string) bool) (total openings) {
+		total.answered = map[string]int{}
+		total.lost = map[string]int{}
+		for range d / openingGap {
+			for _, vm := range fleet {
+				o := vm.serve(openingGap, silent)
+				total.answered["north"] += o.answered["north"]
+				total.lost["north"] += o.lost["north"]
+			}
+			share(fleet)
+		}
+		return total
+	}
+	play(2*time.Second, only())
+	down := play(4*time.Second, only("north"))
+	if most := 16 * (5 + 4); down.lost["north"] > most {
+		t.Errorf("%d SYNs lost, want at most %d", down.lost["north"], most)
+	}
+	play(3*time.Second, only())
+	back := play(time.Second, only())
+	t.Logf("%d SYNs lost, %d of 480 flows in the domain 3 s after its return", down.lost["north"], back.answered["north"])
+	if back.answered["north"] < 16*27 {
+		t.Errorf("%d of 480 flows in the domain 3 s after its return", back.answered["north"])
+	}
+}
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -36,13 +36,12 @@
 	if b.composed > 0 && now-b.composed < wait {
 		return Report{}, false
 	}
-	b.composed = now
+	b.composed, b.urgent = now, false
 	b.expire(now)
 	ids := b.pickNamed(now)
 	if len(ids) == 0 && !b.pressed {
 		return Report{}, false
 	}
-	b.urgent = false
 	r = Report{From: b.self, Run: b.run, Sent: now}
 	r.Seen, r.Bad = b.seen(now)
 	for _, id := range ids {
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -30,7 +30,8 @@
 	}
 	switch {
 	case s.ejectedUntil > 0:
-		if e.refuted || m.now >= s.ejectedUntil {
+		answered := e.answeredSince(s.ejectedUntil-s.hold) >= trialAnswers
+		if answered || e.refuted || m.now >= s.ejectedUntil {
 			s.ejectedUntil, s.trialSince, s.answers = 0, m.now, 0
 		}
 	case s.trialSince > 0:
