--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -30,7 +30,8 @@
 	}
 	switch {
 	case s.ejectedUntil > 0:
-		if e.refuted || m.now >= s.ejectedUntil {
+		answered := e.answeredSince(s.ejectedUntil-s.hold) >= trialAnswers
+		if answered || e.refuted || m.now >= s.ejectedUntil {
 			s.ejectedUntil, s.trialSince, s.answers = 0, m.now, 0
 		}
 	case s.trialSince > 0:
@@ -69,7 +70,12 @@
 // answered some VMs and not others lately: this VM may be one of those that reach it.
 func (b *Board) mayEject(s *subject, e merged, m *merger) bool {
 	r := b.own[e.id]
-	return s.splitAt == 0 || m.now-s.splitAt > splitMemory || r != nil && r.streak > 0
+	return !s.splitLately(m.now) || r != nil && r.streak > 0
+}
+
+// splitLately reports whether the upstream answered some VMs and not others lately.
+func (s *subject) splitLately(now time.Duration) bool {
+	return s.splitAt > 0 && now-s.splitAt <= splitMemory
 }
 
 // confirmed reports whether failures in a row are more than chance: there are many, or nobody has
@@ -92,7 +98,7 @@
 func (b *Board) clear(s *subject, id uint64, now time.Duration) {
 	s.clearedAt = now
 	if r := b.own[id]; r != nil {
-		r.tally, r.streak = tally{at: now}, 0
+		r.tally, r.streak = tally{counts: r.value(now).withoutFailures(), at: now}, 0
 	}
 }
 
