sparevidence, sparcookie: flows of an upstream that is gone for most VMs of its domain are reset

Ruled out: a reset after half a second without an answer (in the model, where one VM of 16 reaches the upstream, it was taken to be gone); a reset by removal of the entry alone (it may expire while the server runs).

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -116,6 +116,7 @@
 		pending         int                 // requests under way of flows on record
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
+		goneSince       time.Duration       // when the evidence of several VMs showed that it is gone, or 0
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		easedUntil      time.Duration       // end of the time after its return in which it gets less load
 	}
@@ -182,7 +183,7 @@
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
 		if u.removed {
-			u.weight = 1 // the evidence ended with its entry
+			u.weight, u.goneSince = 1, 0 // the evidence ended with its entry
 		}
 		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -157,13 +157,22 @@
 	return v
 }
 
+// gone reports whether the evidence of the VMs of its own failure domain, this one among them, shows
+// that u is gone: what comes between two domains can't be the cause.
+func (e *Engine) gone(u *upstream) bool {
+	return u.goneSince > u.lastResponse && u.Domain == e.domain
+}
+
 // mayReset reports whether a flow with unanswered retransmissions may be reset: its
 // upstream is not in the roster and answers no client of this VM. An upstream that drained
 // before its removal has stopped as planned. Otherwise its entry may have expired while it
 // is still running, so other VMs are tried first.
 func (e *Engine) mayReset(u *upstream, f *flow) bool {
 	silent := e.now-max(f.lastProgress, u.lastResponse) >= minRetransmitAge
-	return u.removed && silent && (u.Draining || f.relayCopies >= relaysBeforeReset)
+	if !silent {
+		return false
+	}
+	return u.removed && (u.Draining || f.relayCopies >= relaysBeforeReset) || e.gone(u)
 }
 
 // mayServe reports whether u may have flows of the route. Before this VM first saw the
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// SetGone sets whether no VM has had a sign of life from an upstream since several have seen it
+// fail.
+func (e *Engine) SetGone(id uint64, gone bool) {
+	u := e.upstreams[id]
+	switch {
+	case u == nil:
+	case !gone:
+		u.goneSince = 0
+	case u.goneSince == 0:
+		u.goneSince = e.now
+	}
+}
+
 // SetUsual sets the usual response time of a service, 0 if it is not known.
 func (e *Engine) SetUsual(service string, d time.Duration) { e.serviceOf(service).usual = d }
 
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -21,6 +21,7 @@
 		name       string
 		counts     Counts
 		streak     time.Duration // first failure since its last answer, or 0
+		openedAt   time.Duration
 		answeredAt time.Duration
 		failedAt   time.Duration
 		own        bool
@@ -126,11 +127,11 @@
 	for i, s := range m.sources {
 		h, ok := s.entries[id]
 		if settled := h.failedAt > 0 && h.failedAt <= cleared; ok && !settled {
-			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, answeredAt: h.answeredAt, failedAt: h.failedAt})
+			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, openedAt: h.openedAt, answeredAt: h.answeredAt, failedAt: h.failedAt})
 		}
 	}
 	if r := m.board.own[id]; r != nil && !m.sick {
-		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
+		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, openedAt: r.openedAt, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
 	}
 	return views
 }
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -40,6 +40,7 @@
 		Born   uint32 // lower bits of the start of the upstream
 		Counts Counts
 		// Ages when the report was sent, or Never.
+		Opened   time.Duration // of the last opening that was answered
 		Answered time.Duration // of the last answered request
 		Failed   time.Duration // of the last failure
 		Streak   time.Duration // of the first failure since the last answered request
@@ -85,6 +86,7 @@
 	// heardEntry is an entry by the clock of this VM. Its times are 0 for never.
 	heardEntry struct {
 		counts     Counts
+		openedAt   time.Duration
 		failedAt   time.Duration
 		answeredAt time.Duration
 		streak     time.Duration // first failure since the last answer
@@ -127,7 +129,7 @@
 	}
 	ok := r.Sent >= 0 && r.Bad >= 0 && r.Seen >= r.Bad
 	for _, e := range r.Upstreams {
-		ok = ok && e.Counts.valid() && validAge(e.Answered) && validAge(e.Failed) && validAge(e.Streak)
+		ok = ok && e.Counts.valid() && validAge(e.Opened) && validAge(e.Answered) && validAge(e.Failed) && validAge(e.Streak)
 	}
 	for _, e := range r.Services {
 		ok = ok && e.Others.valid() && e.Usual >= 0 && e.Usual <= maxUsual && inRange(e.Refused)
@@ -191,7 +193,7 @@
 		b.subject(e.ID, s.received)
 	}
 	return heardEntry{
-		counts: e.Counts, streak: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
+		counts: e.Counts, streak: before(s.at, e.Streak), openedAt: before(s.at, e.Opened), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
 	}
 }
 
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -92,6 +92,7 @@
 	r.board.SetPressed(vm.engine.Pressed())
 	for _, c := range r.board.Evaluate(now) {
 		vm.engine.SetWeight(c.Upstream.ID, c.Weight)
+		vm.engine.SetGone(c.Upstream.ID, c.Gone)
 		vm.logWeight(c)
 	}
 	if now-r.usualAt >= usualEvery {
@@ -152,15 +153,17 @@
 // logWeight logs a weight by the evidence of several VMs, and which ones have reported.
 func (vm *VM) logWeight(c sparevidence.Change) {
 	what := "upstream eased by evidence"
-	switch c.Weight {
-	case 0:
+	switch {
+	case c.Gone:
+		what = "upstream gone by evidence"
+	case c.Weight == 0:
 		what = "upstream ejected by evidence"
-	case 1:
+	case c.Weight == 1:
 		what = "upstream restored by evidence"
 	}
 	vm.log.WithFields(logrus.Fields{
 		"upstream": fmt.Sprintf("%x", c.Upstream.ID), "service": c.Upstream.Service, "weight": c.Weight, "cause": string(c.Cause),
-		"witnesses": c.Witnesses, "failures": c.Counts.Failures(), "answered": c.Counts.Answered, "slow": c.Counts.Slow,
+		"gone": c.Gone, "witnesses": c.Witnesses, "failures": c.Counts.Failures(), "answered": c.Counts.Answered, "slow": c.Counts.Slow,
 	}).Info(what)
 	vm.addEvent(what, c.Upstream.Service, fmt.Sprintf("%x", c.Upstream.ID), len(c.Witnesses))
 }
