--- a/internal/route/sparcookie/warm_model_test.go
+++ b/internal/route/sparcookie/warm_model_test.go
@@ -80,15 +80,19 @@
 }
 
 // TestWarmLimitHolds plays VMs that join, leave, restart, die, are paused, cut off from the store or
-// late in their settings, and a store that is down or restored, under a load far above the limits:
-// no upstream that warms up gets more than its limit in any second. An upstream that restarts under
-// its ID is not played, see docs/design/warmup.md.
+// late in their settings, or have other limits in their settings files, and a store that is down or
+// restored, under a load far above the limits: no upstream that warms up gets more than its limit in
+// any second. An upstream that restarts under its ID is not played, see docs/design/warmup.md.
 func TestWarmLimitHolds(t *testing.T) {
 	reached := 0
 	for seed := range uint64(warmSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			limit := []sparconfig.WarmLimit{{Overage: 1.5, Slack: 5}, {Overage: 1}, {Overage: 0.5, Slack: 2}, {Overage: 2, Slack: 0.5}}[seed%4]
-			s := newWarmSite(t, seed, 5, limit)
+			limits := [][]sparconfig.WarmLimit{
+				{{Overage: 1.5, Slack: 5}}, {{Overage: 1}}, {{Overage: 0.5, Slack: 2}}, {{Overage: 2, Slack: 0.5}},
+				{{Overage: 1, Slack: 1}, {Overage: 1.5, Slack: 5}}, // settings files that differ
+			}[seed%5]
+			limit := limits[len(limits)-1]
+			s := newWarmSite(t, seed, 5, limits...)
 			for i := range 3 + s.rng.IntN(9) {
 				s.addVM(siteDomains[i%3])
 			}
--- a/internal/route/sparcookie/warm_site_test.go
+++ b/internal/route/sparcookie/warm_site_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,7 +9,6 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparquota"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
@@ -42,7 +40,7 @@
 		due     map[time.Duration][]func()
 		warm    map[uint64]*warmServer
 		rates   []siteRate
-		limit   sparconfig.WarmLimit
+		limits  []sparconfig.WarmLimit // settings of the VMs, in turn
 		refused int
 		opened  int
 	}
@@ -62,6 +60,7 @@
 	// siteVM is one VM and what the site does to it.
 	siteVM struct {
 		name, domain string
+		limit        sparconfig.WarmLimit
 		engine       *sparcookie.Engine
 		applied      int           // index in the history, -1 at first
 		freshAt      time.Duration // its settings were complete
@@ -82,47 +81,15 @@
 	}
 )
 
-func newWarmSite(t *testing.T, seed uint64, rate float64, limit sparconfig.WarmLimit) *warmSite {
+func newWarmSite(t *testing.T, seed uint64, rate float64, limits ...sparconfig.WarmLimit) *warmSite {
 	s := &warmSite{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Second, era: 1, facts: map[string]sparroster.Fact{}, at: map[string]sparregistry.Position{},
-		due: map[time.Duration][]func(){}, warm: map[uint64]*warmServer{}, limit: limit,
+		due: map[time.Duration][]func(){}, warm: map[uint64]*warmServer{}, limits: limits,
 	}
 	s.setRate(rate)
 	return s
 }
 
-// put writes or, with a nil fact, removes an entry.
-func (s *warmSite) put(key string, fact sparroster.Fact) {
-	s.rev++
-	s.facts = maps.Clone(s.facts)
-	if fact == nil {
-		delete(s.facts, key)
-	} else {
-		s.facts[key] = fact
-		s.at[key] = sparregistry.Position{Era: s.era, Revision: s.rev}
-	}
-	s.publish()
-}
-
-func (s *warmSite) publish() {
-	entries := []sparregistry.Entry{}
-	for key := range s.facts {
-		entries = append(entries, sparregistry.Entry{Key: key, Era: s.era, Revision: s.at[key].Revision})
-	}
-	registry := sparregistry.Registry{}.WithFullRead(entries, sparregistry.Position{Era: s.era, Revision: s.rev})
-	facts := s.facts
-	roster := sparroster.New(registry, func(key string, _ []byte) (sparroster.Fact, error) { return facts[key], nil })
-	s.history = append(s.history, siteState{s.now, roster})
-}
-
-func (s *warmSite) setRate(rate float64) {
-	s.rates = append(s.rates, siteRate{s.now, rate})
-	s.put(sparroster.RoutingKey, sparroster.Routing{
-		Version: 1, Idle: 15 * time.Second, Services: []sparroster.Service{{Name: booking, WarmRate: rate}},
-		Routes: []sparroster.Route{{Address: bookingAddr, Targets: []sparroster.Target{{Service: booking, Weight: 1}}}},
-	})
-}
-
 // startUpstream starts an upstream that warms up for the time, and lists it a little later.
 func (s *warmSite) startUpstream(domain string, warm time.Duration) {
 	s.nextID++
@@ -143,7 +110,7 @@
 // addVM adds a VM and, unless it is quiet about itself, its entry.
 func (s *warmSite) addVM(domain string) *siteVM {
 	s.names++
-	vm := &siteVM{name: fmt.Sprintf("vm-%d", s.names), domain: domain}
+	vm := &siteVM{name: fmt.Sprintf("vm-%d", s.names), domain: domain, limit: s.limits[s.names%len(s.limits)]}
 	s.vms = append(s.vms, vm)
 	s.start(vm)
 	s.list(vm)
@@ -157,7 +124,7 @@
 // start starts the process of a VM, which has lost its counts.
 func (s *warmSite) start(vm *siteVM) {
 	vm.engine = sparcookie.New(vm.name, vm.domain, 10_000)
-	vm.engine.SetWarmLimit(s.limit, siteAge, siteTick)
+	vm.engine.SetWarmLimit(vm.limit, siteAge, siteTick)
 	vm.applied, vm.freshAt, vm.fetchAt, vm.tickedAt, vm.dead, vm.queue = -1, 0, 0, s.now, false, nil
 }
 
@@ -263,34 +230,3 @@
 		w.openings = append(w.openings, s.now)
 	}
 }
-
-// limitFrom returns the highest limit that VMs may go by in the second from a moment on.
-func (s *warmSite) limitFrom(from time.Duration) (limit float64) {
-	for i, r := range s.rates {
-		over := i+1 < len(s.rates) && s.rates[i+1].at < from-siteAge
-		if !over && r.at <= from+time.Second {
-			limit = max(limit, sparquota.Limit(r.rate, s.limit.Overage, s.limit.Slack))
-		}
-	}
-	return limit
-}
-
-// checkLimits checks each second of each upstream, and returns the most openings in one.
-func (s *warmSite) checkLimits() (most int) {
-	s.t.Helper()
-	for id, w := range s.warm {
-		for i, from := range w.openings {
-			n := 0
-			for _, at := range w.openings[i:] {
-				if at-from <= time.Second {
-					n++
-				}
-			}
-			most = max(most, n)
-			if limit := s.limitFrom(from); float64(n) > limit {
-				s.t.Fatalf("upstream %x got %d openings in the second from %v, limit %v; warm until %v", id, n, from, limit, w.until)
-			}
-		}
-	}
-	return most
-}
