sparentry: test addresses are free for UDP too

TestOddEntries failed once in a run of the package beside other work: the port that was free for TCP was taken for UDP, so a VM didn't start.

--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -23,7 +23,10 @@
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
-const timeout = 5 * time.Second
+const (
+	timeout   = 5 * time.Second
+	addrTries = 20
+)
 
 var serviceAddr = sparflow.MakeEndpoint(0xc6120001, 8080) // 198.18.0.1:8080
 
@@ -112,14 +115,25 @@
 	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: serviceAddr, Service: "booking"}}))
 }
 
-// addr returns a loopback address with a port that is free for TCP and most likely for UDP.
+// addr returns a loopback address with a port that is free for TCP and for UDP. Another process may
+// still take it before the test does.
 func addr(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range addrTries {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := l.Addr().String()
+		conn, err := net.ListenPacket("udp4", at)
+		_ = l.Close()
+		if err != nil {
+			continue // the port is taken for UDP
+		}
+		_ = conn.Close()
+		return at
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatalf("no port is free for TCP and UDP in %d tries", addrTries)
+	return ""
 }
 
 // start runs a VM with a free control address until the test ends.
