sparcheck: a configuration is checked before it is sent

Code 7 for warnings. The length of a warm-up is decoded beside its rate, as a hint. Ruled out: asking a VM, comparing texts, a schema beside the decoder; see docs/design/check.md.

--- a/internal/operator/sparcli/cli.go
+++ b/internal/operator/sparcli/cli.go
@@ -34,6 +34,9 @@
 	// Forbidden is the exit code of a write to an address that another team or service
 	// has claimed.
 	Forbidden = 6
+	// Doubtful is the exit code of a document that can be used, but with entries that never match or
+	// limits that contradict each other.
+	Doubtful = 7
 	// Hold is the exit code of status hold: wait, a change is in progress.
 	Hold = 10
 	// Retry is the exit code of status retry: query again, a fact could not be confirmed.
@@ -46,7 +49,7 @@
 	// arguments are the subcommands of the program.
 	arguments struct {
 		Serve    *serveCommand    `arg:"subcommand:serve" help:"run one entry VM"`
-		Check    *checkCommand    `arg:"subcommand:check" help:"check a settings file or service document"`
+		Check    *checkCommand    `arg:"subcommand:check" help:"check a document before it is sent"`
 		Demo     *demoCommand     `arg:"subcommand:demo" help:"show a small deployment on this machine"`
 		Set      *setCommand      `arg:"subcommand:set" help:"write a service document"`
 		Get      *getCommand      `arg:"subcommand:get" help:"print a service document"`
--- a/internal/operator/sparcli/serve.go
+++ b/internal/operator/sparcli/serve.go
@@ -1,10 +1,7 @@
 package sparcli
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"os"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -22,10 +19,6 @@
 		Log  string `arg:"--log" default:"info" help:"debug, info, warning or error"`
 	}
 
-	checkCommand struct {
-		File string `arg:"positional,required" help:"settings file or service document"`
-	}
-
 	demoCommand struct {
 		Flows int    `arg:"--flows" default:"240" help:"flows to hold open, 1 to 10000"`
 		Seed  uint64 `arg:"--seed" default:"1" help:"seed of the fabric"`
@@ -60,30 +53,6 @@
 	return server.Run(ctx, abort)
 }
 
-func (c *checkCommand) run(_ context.Context, out streams) (err error) {
-	text, err := os.ReadFile(c.File)
-	if err != nil {
-		return exit{Invalid, err}
-	}
-	kind, err := checkText(text)
-	if err != nil {
-		return exit{Invalid, errors.Annotate(err, c.File)}
-	}
-	fmt.Fprintf(out.stdout, "ok %s %s\n", kind, c.File)
-	return nil
-}
-
-// checkText checks a settings file or a service document, and returns which it is. Only a
-// settings file has the field platform.
-func checkText(text []byte) (kind string, err error) {
-	if bytes.Contains(text, []byte(`"platform"`)) {
-		_, err = sparconfig.ParseFile(text)
-		return "settings", err
-	}
-	_, err = sparconfig.ParseDocument(text)
-	return "service", err
-}
-
 func (c *demoCommand) run(ctx context.Context, out streams) (err error) {
 	if c.Flows < 1 || c.Flows > 10000 {
 		return exit{Invalid, errors.Errorf("--flows: %d, expected 1 to 10000", c.Flows)}
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -83,6 +83,7 @@
 		// WarmRate is the number of requests per second that an upstream of the service takes
 		// during its warm-up, 0 for no limit.
 		WarmRate float64
+		WarmTime time.Duration // how long that is, 0 if unknown
 	}
 
 	// Target is a service with its share of new flows.
