sparcookie: a late SYN-ACK of the upstream that lost moves no flow

Cause: each end of a flow repeats the last cookie that it received, so the SYN-ACK of the upstream that lost, which arrives a little later, may make the client name the wrong upstream. Found by reading the protocol; no trial shows it. Change: the VM that has the record of the flow sends its packets to the upstream that has it.

--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -52,7 +52,7 @@
 	// hedgeState is the part of a flow record that is about hedges.
 	hedgeState struct {
 		awaiting bool      // in the queue
-		second   *upstream // that the SYN went to as well
+		rival    *upstream // that the SYN went to as well; once the flow is open, the one that lost
 	}
 )
 
@@ -178,7 +178,7 @@
 		return
 	}
 	h.stats.Sent++
-	f.hedge.second = e.markPlaced(second)
+	f.hedge.rival = e.markPlaced(second)
 	v := e.send(Hedged, second)
 	v.Waited = e.now - f.began
 	h.due = append(h.due, Hedge{Slot: item.Slot, From: item.Key.client, To: item.Key.service, First: f.upstream.Upstream, Verdict: v})
--- a/internal/route/sparcookie/hedge_test.go
+++ b/internal/route/sparcookie/hedge_test.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// TestLoserAnswersLate: the SYN-ACK of the upstream that lost reaches the client as well, and the
+// client puts its cookie into the packets that follow. They must reach the upstream that has the flow,
+// which sends its own cookie again.
+func TestLoserAnswersLate(t *testing.T) {
+	for _, secondWins := range []bool{true, false} {
+		f := newHedgingFixture(t)
+		c := f.newClient(bookingAddr)
+		h := f.hedgeOf(c)
+		winner, loser := h.Cookie, c.s.Cookie
+		if !secondWins {
+			winner, loser = loser, winner
+		}
+		opened := c.takes(winner)
+		c.s.Cookie = loser
+		if v := c.request(); v.ID != opened.ID || v.Cookie != winner {
+			t.Errorf("second wins %v: request with the cookie of the other upstream sent to %d, want %d", secondWins, v.ID, opened.ID)
+		}
+		if v := c.ackResponse(); v.ID != opened.ID || !v.Answered {
+			t.Errorf("second wins %v: then sent to %d, answered %v", secondWins, v.ID, v.Answered)
+		}
+	}
+}
+
 // TestSilentUpstreamIsNoticed: an upstream loses each race since it is down. It must still be
 // ejected, after two, so that hedges do not hide it.
 func TestSilentUpstreamIsNoticed(t *testing.T) {
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -23,27 +23,31 @@
 // an answer, too.
 func (e *Engine) noteCopy(f *flow) {
 	f.hedge.awaiting = false
-	second := f.hedge.second
+	second := f.hedge.rival
 	if second != nil && second.lastSYN > second.lastResponse && second.pendingSince == 0 {
 		second.pendingSince = second.lastSYN
 	}
 }
 
-// settleRace gives a flow to the second upstream of its opening if u is that one: its packets show
-// which SYN-ACK the client has taken.
-func (e *Engine) settleRace(f *flow, u *upstream) {
-	if f == nil || f.opened || f.hedge.second != u {
-		return
+// settleRace returns the upstream of a flow whose packet has the cookie of u. If its SYN went to two
+// upstreams, the first packet shows which SYN-ACK the client has taken, and the flow stays there: a
+// later cookie of the other one comes from its SYN-ACK, which the client has received as well.
+func (e *Engine) settleRace(f *flow, u *upstream) *upstream {
+	if f == nil || f.hedge.rival != u {
+		return u
+	}
+	if f.opened {
+		return f.upstream
 	}
 	first := f.upstream
 	e.noteLostRace(first, f.began)
 	e.hedges.stats.Won++
-	f.hedge.second = nil
-	f.upstream = u
+	f.upstream, f.hedge.rival = u, first
 	if !f.closed {
 		first.flows--
 		u.flows++
 	}
+	return u
 }
 
 // noteLostRace records that the client has taken the SYN-ACK of another upstream than u for an
