--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -145,7 +145,7 @@
 // Advance ends the window of observations if it is due.
 func (l *Limiter) Advance(now time.Duration) {
 	length := now - l.began
-	enough := len(l.queued) >= minResponses || l.answered >= manyResponses
+	enough := len(l.queued) >= minResponses || l.answered >= manyResponses || l.relieved(now)
 	if length < interval || !enough && length < maxInterval {
 		return
 	}
@@ -206,7 +206,7 @@
 		taken = stillTaken
 	}
 	switch {
-	case perSlot < taken:
+	case perSlot < taken, l.relieved(now):
 		return 0
 	case len(l.queued) >= minResponses:
 		slices.Sort(l.queued)
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -7,6 +7,8 @@
 	maxViewAge = time.Second
 	// loadSpan is the time over which the requests under way are averaged.
 	loadSpan = 500 * time.Millisecond
+	// reliefTime is the least time over which fewer requests show that the demand has fallen.
+	reliefTime = 200 * time.Millisecond
 	// meanCount is the number of samples that the means of base and path reach back.
 	meanCount = 64
 )
@@ -55,6 +57,21 @@
 	return max(mean, float64(l.requests)/length.Seconds()*max(0, response-l.path))
 }
 
+// relieved reports whether slots have become free while flows are refused. It tells sooner than the
+// mean load that the demand has fallen.
+func (l *Limiter) relieved(now time.Duration) bool {
+	length := now - l.began
+	if l.refused == 0 || length < reliefTime || l.viewed(now) {
+		return false
+	}
+	response := l.response
+	if l.answered > 0 {
+		response = l.waited.Seconds() / float64(l.answered)
+	}
+	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path) * float64(l.ownVMs)
+	return pending < stillTaken*float64(l.ownSlots)
+}
+
 // perSlot returns the requests under way of all VMs per slot.
 func (l *Limiter) perSlot(now time.Duration) float64 {
 	v := l.load(now)
@@ -66,12 +83,17 @@
 
 // load returns the load at all VMs.
 func (l *Limiter) load(now time.Duration) View {
-	if l.viewAt > 0 && now-l.viewAt+l.view.Age < maxViewAge {
+	if l.viewed(now) {
 		return l.view
 	}
 	return View{Pending: l.pending(now) * float64(l.ownVMs), Slots: l.ownSlots, VMs: l.ownVMs}
 }
 
+// viewed reports whether there are recent figures of all VMs.
+func (l *Limiter) viewed(now time.Duration) bool {
+	return l.viewAt > 0 && now-l.viewAt+l.view.Age < maxViewAge
+}
+
 // approach returns the mean of the last samples in seconds, with one more sample.
 func approach(mean float64, sample time.Duration) float64 {
 	if mean == 0 {
