sparcookie: flows of an ejected upstream are reset once its entry is removed

With the entry removed and two VMs that have seen nothing but failures, the first retransmission resets the flow.

--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -164,15 +164,18 @@
 }
 
 // mayReset reports whether a flow with unanswered retransmissions may be reset: its
-// upstream is not in the roster and answers no client of this VM. An upstream that drained
-// before its removal has stopped as planned. Otherwise its entry may have expired while it
-// is still running, so other VMs are tried first.
+// upstream is not in the roster, or is gone, and answers no client of this VM. An upstream that drained
+// before its removal has stopped as planned, and one that several VMs had ejected has crashed.
+// Otherwise its entry may have expired while it is still running, so other VMs are tried first.
 func (e *Engine) mayReset(u *upstream, f *flow) bool {
 	silent := e.now-max(f.lastProgress, u.lastResponse) >= minRetransmitAge
 	if !silent {
 		return false
 	}
-	return u.removed && (u.Draining || f.relayCopies >= relaysBeforeReset) || e.gone(u)
+	if u.removed {
+		return u.Draining || u.weight == 0 || f.relayCopies >= relaysBeforeReset
+	}
+	return e.gone(u)
 }
 
 // mayServe reports whether u may have flows of the route. Before this VM first saw the
--- a/internal/route/sparcookie/gone_test.go
+++ b/internal/route/sparcookie/gone_test.go
@@ -80,3 +80,13 @@
 		})
 	}
 }
+
+// TestEjectedAndRemoved covers a crash: several VMs had ejected the upstream when its entry expired.
+func TestEjectedAndRemoved(t *testing.T) {
+	f := newFixture(t)
+	c := f.flowAt(1)
+	f.engine.SetWeight(1, 0)
+	f.remove(1)
+	f.wait(retransmitAfter)
+	wantVerdict(t, c.request(), sparcookie.Reset, sparcookie.UpstreamGone)
+}
