sparentry: test addresses lie below the ports of connections

Two of three runs of the package beside other work failed as a VM found its port in use: once for UDP (TestOddEntries), once for TCP (TestSettingsSpreadWithOneReader), each time a port that the system gives to connections too. Addresses come from 20000 to 31999 now, free for TCP and UDP.

--- a/internal/vm/sparentry/evacuation_test.go
+++ b/internal/vm/sparentry/evacuation_test.go
@@ -206,17 +206,21 @@
 // TestOddEvacuations checks that an evacuation is in force whatever its value, and that a key that
 // names no possible domain leaves the others in force.
 func TestOddEvacuations(t *testing.T) {
-	s := newSite(t)
-	v := s.start("vm-1")
-	eventually(t, "ready", v.ready)
 	for name, value := range sparfake.OddEntries() {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			v := s.start("vm-1")
+			eventually(t, "ready", v.ready)
 			s.fake.Put(sparfake.EvacuationPrefix+"south", value)
 			within(t, inForceWithin, "in force", v.evacuated("south"))
 			s.takeBack("south")
 			within(t, inForceWithin, "ended", v.evacuated())
 		})
 	}
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "ready", v.ready)
 	for _, domain := range []string{"", strings.Repeat("d", 10_000)} {
 		s.evacuate(domain)
 	}
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +28,8 @@
 const (
 	timeout   = 5 * time.Second
 	addrTries = 20
+	firstPort = 20_000
+	ports     = 12_000
 )
 
 var serviceAddr = sparflow.MakeEndpoint(0xc6120001, 8080) // 198.18.0.1:8080
@@ -115,15 +119,15 @@
 	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: serviceAddr, Service: "booking"}}))
 }
 
-// addr returns a loopback address with a port that is free for TCP and for UDP. Another process may
-// still take it before the test does.
+// addr returns a loopback address with a port that is free for TCP and for UDP. It is below those that
+// systems give to connections, so that none takes it before the test does.
 func addr(t *testing.T) string {
 	for range addrTries {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp4", at)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		at := l.Addr().String()
 		conn, err := net.ListenPacket("udp4", at)
 		_ = l.Close()
 		if err != nil {
