--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -27,6 +27,7 @@
 	usual   time.Duration  // response time, as told by SetUsual
 	waited  time.Duration  // by the requests answered since the last Observations
 	refused int            // openings refused since then
+	busy    time.Duration  // waited by the requests answered since the last count of the load
 	load    map[string]int // requests under way, by failure domain, at the last count
 }
 
@@ -82,29 +83,30 @@
 
 // countLoad counts the requests under way, if that is due.
 func (e *Engine) countLoad() (counted bool) {
-	if e.now-e.loadAt < loadInterval {
+	elapsed := e.now - e.loadAt
+	if elapsed < loadInterval {
 		return false
 	}
 	e.loadAt, e.pressed = e.now, false
 	for name, p := range e.pools {
 		s := e.serviceOf(name)
 		s.load = map[string]int{}
-		pending, slots := 0, 0
+		slots := 0
 		for _, u := range p.all {
 			slots += u.Slots
 			if u.pending > 0 {
 				s.load[u.Domain] += u.pending
-				pending += u.pending
 			}
 		}
-		vms := len(e.relays) + 1
-		e.pressed = e.pressed || s.refused > 0 || float64(pending*vms) >= pressedShare*float64(slots) && pending > 0
+		underWay := float64(s.busy) / float64(elapsed) * float64(len(e.relays)+1)
+		e.pressed = e.pressed || s.refused > 0 || underWay >= pressedShare*float64(slots)
+		s.busy = 0
 	}
 	return true
 }
 
-// Pressed reports whether a service was near its capacity at the last count, if the other VMs have as
-// many requests under way as this one.
+// Pressed reports whether half of a service's slots or more were at work between the last two counts,
+// if the other VMs had as many requests under way as this one, or openings were refused.
 func (e *Engine) Pressed() bool { return e.pressed }
 
 // seenOf returns the counts of u to add to.
@@ -132,6 +134,7 @@
 	counts, s := e.seenOf(u), u.service
 	counts.Answered++
 	s.waited += waited
+	s.busy += waited
 	if s.usual > 0 && waited > slowFactor*s.usual {
 		counts.Slow++
 	}
--- a/internal/route/sparcookie/observe_test.go
+++ b/internal/route/sparcookie/observe_test.go
@@ -110,6 +110,34 @@
 	}
 }
 
+// TestPressed checks when the load is worth telling: 4 VMs share 10 slots, and three requests at
+// once take a part of each 200 ms.
+func TestPressed(t *testing.T) {
+	for took, want := range map[time.Duration]bool{10 * time.Millisecond: false, 150 * time.Millisecond: true} {
+		f := newFixture(t)
+		f.engine.Observations()
+		for range 5 {
+			var clients []*client
+			for range 3 {
+				c := f.newClient(bookingAddr)
+				c.open()
+				c.ackHandshake()
+				c.request()
+				clients = append(clients, c)
+			}
+			f.wait(took)
+			for _, c := range clients {
+				c.ackResponse()
+			}
+			f.wait(200*time.Millisecond - took - 3*rtt)
+		}
+		f.engine.Observations()
+		if got := f.engine.Pressed(); got != want {
+			t.Errorf("pressed %v with requests of %v, want %v", got, took, want)
+		}
+	}
+}
+
 // TestNothingIsOverdueAfterAPause pauses a VM with requests under way: their responses wait to be
 // read.
 func TestNothingIsOverdueAfterAPause(t *testing.T) {
