--- a/internal/vm/sparentry/evacuation_test.go
+++ b/internal/vm/sparentry/evacuation_test.go
@@ -132,6 +132,21 @@
 		s.fake.Restore(older)
 		within(t, settleWithin, "the platform decides", v.evacuated())
 	})
+	for _, upstreams := range []int{0, manyUpstreams} { // read in full, and incrementally
+		t.Run(fmt.Sprintf("the copy has one that was taken back, and it is asked for again, %d upstreams", 1+upstreams), func(t *testing.T) {
+			t.Parallel()
+			s, v := start(t)
+			s.registerMany(upstreams)
+			s.evacuate("north")
+			within(t, inForceWithin, "in force", v.evacuated("north"))
+			older := s.fake.Copy()
+			s.takeBack("north")
+			within(t, inForceWithin, "ended", v.evacuated())
+			s.fake.Restore(older)
+			s.evacuate("north")
+			within(t, inForceWithin, "in force again", v.evacuated("north"))
+		})
+	}
 	t.Run("the copy has one that was taken back", func(t *testing.T) {
 		t.Parallel()
 		s, v := start(t)
