--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -74,6 +74,7 @@
 		Slots    int
 		Queueing float64       // median queueing delay, in parts of the allowed one
 		Response time.Duration // mean response time
+		Service  time.Duration // time that a request occupies a slot
 		Began    time.Duration // begin of the overload, or 0
 	}
 
@@ -233,6 +234,6 @@
 	v := l.load(now)
 	return State{
 		Refused: l.share(), Pending: v.Pending, Slots: v.Slots, Queueing: l.queueing,
-		Response: time.Duration(l.response * float64(time.Second)), Began: l.since,
+		Response: time.Duration(l.response * float64(time.Second)), Service: l.ServiceTime(), Began: l.since,
 	}
 }
--- a/internal/vm/sparentry/admit.go
+++ b/internal/vm/sparentry/admit.go
@@ -25,6 +25,7 @@
 	fields["slots"] = state.Slots
 	fields["queueing"] = rounded(state.Queueing)
 	fields["response_ms"] = state.Response.Milliseconds()
+	fields["service_ms"] = state.Service.Milliseconds()
 }
 
 // rounded returns a figure as written in logs.
@@ -45,7 +46,9 @@
 // publishAdmission publishes the refused share of each service and the refused flows by priority.
 func (m *metrics) publishAdmission(engine *sparcookie.Engine) {
 	for service, state := range engine.AdmissionStates() {
-		m.set.Scope.Tagged(map[string]string{"service": service}).Gauge("admission_level").Update(state.Refused)
+		scope := m.set.Scope.Tagged(map[string]string{"service": service})
+		scope.Gauge("admission_level").Update(state.Refused)
+		scope.Gauge("service_seconds").Update(state.Service.Seconds())
 	}
 	rejected := engine.RejectedOpenings()
 	for priority, n := range rejected {
