--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -153,12 +153,10 @@
 // logWeight logs a weight by the evidence of several VMs, and which ones have reported.
 func (vm *VM) logWeight(c sparevidence.Change) {
 	what := "upstream eased by evidence"
-	switch {
-	case c.Gone:
-		what = "upstream gone by evidence"
-	case c.Weight == 0:
+	switch c.Weight {
+	case 0:
 		what = "upstream ejected by evidence"
-	case c.Weight == 1:
+	case 1:
 		what = "upstream restored by evidence"
 	}
 	vm.log.WithFields(logrus.Fields{
