sparcookie: starts and full queues are no evidence; silent upstreams take turns

SYNs that had waited for the first settings counted as unanswered though their clients had given up, and requests counted as overdue after 150 ms while queues were full.

Change: what was sent in the first 0.3 s after a start or a pause does not count, and no request is overdue before 400 ms. Where no upstream is healthy they take turns by their last SYN: a copy that moved on left a silent one the least loaded of all (TestAllDomainsSilent). The fixtures start a second before their tests, as a VM has.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -91,7 +91,7 @@
 // noteOpening records a SYN sent to u, which has to be answered within synAckTimeout.
 func (e *Engine) noteOpening(u *upstream) {
 	u.lastSYN = e.now
-	if len(e.openings) < maxOpenings {
+	if len(e.openings) < maxOpenings && e.now-e.pausedAt >= catchUpTime {
 		e.openings = append(e.openings, opening{upstream: u, at: e.now})
 	}
 }
--- a/internal/route/sparcookie/domain_test.go
+++ b/internal/route/sparcookie/domain_test.go
@@ -33,6 +33,7 @@
 	f.engine = sparcookie.New(name, domains[0], 10_000)
 	f.apply()
 	f.engine.SetFresh(true)
+	f.wait(time.Second) // the start is over
 	return f
 }
 
@@ -270,6 +271,22 @@
 	wantDomainEvents(t, f)
 }
 
+// TestSYNsThatWaitedForSettings forwards SYNs that came before the first settings: their clients may
+// have given up, and nothing follows from their silence.
+func TestSYNsThatWaitedForSettings(t *testing.T) {
+	f := newDomains(t, "north", "east")
+	f.engine = sparcookie.New("vm-1", "north", 10_000)
+	f.apply()
+	for range 5 {
+		f.newClient(bookingAddr).open()
+	}
+	f.wait(time.Second)
+	wantDomainEvents(t, f)
+	if got := sum(f.engine.Observations()); got.Unanswered > 0 {
+		t.Errorf("%+v, want no unanswered opening", got)
+	}
+}
+
 // TestUpstreamsOfSuspectDomainChange changes the settings while a domain is suspect.
 func TestUpstreamsOfSuspectDomainChange(t *testing.T) {
 	f := newDomains(t, "north", "east")
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -136,6 +136,9 @@
 
 // Apply replaces the settings in force.
 func (e *Engine) Apply(r sparroster.Roster) {
+	if e.roster.At.IsZero() {
+		e.pausedAt = e.now // packets have waited for the settings
+	}
 	e.roster = r
 	e.applyRoutes(r)
 	e.applyUpstreams(r)
--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -75,6 +75,7 @@
 	}
 	f.apply()
 	f.engine.SetFresh(true)
+	f.wait(time.Second) // the start is over
 	return f
 }
 
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -13,7 +13,11 @@
 	// overdue, and slowFactor times it the one from which on an answer is slow.
 	overdueFactor = 8
 	slowFactor    = 4
-	// catchUpTime is how long this VM needs after a pause to read the responses that have waited.
+	// leastOverdue is the least age at which a request is overdue: an upstream with a full queue
+	// answers sooner.
+	leastOverdue = 400 * time.Millisecond
+	// catchUpTime is how long this VM needs after its start or a pause to handle what has waited:
+	// responses, and SYNs whose clients may have given up.
 	catchUpTime = 300 * time.Millisecond
 	// loadInterval is the time between two counts of the requests under way.
 	loadInterval = time.Second
@@ -146,17 +150,20 @@
 	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 || e.now-e.pausedAt < catchUpTime {
 		return
 	}
-	if e.now-f.requestedAt >= max(minRetransmitAge, overdueFactor*usual) {
+	if e.now-f.requestedAt >= overdueAfter(usual) {
 		f.overdue = true
 		e.seenOf(f.upstream).Failed++
 	}
 }
 
+// overdueAfter returns the age at which a request is overdue where others take the usual time.
+func overdueAfter(usual time.Duration) time.Duration { return max(leastOverdue, overdueFactor*usual) }
+
 // noteGivenUp counts a request that its client has given up, unless it was overdue before.
 func (e *Engine) noteGivenUp(f *flow) {
 	e.endPending(f)
 	usual := f.upstream.service.usual
-	if !f.overdue && e.now-f.requestedAt >= overdueFactor*usual {
+	if !f.overdue && e.now-f.requestedAt >= overdueAfter(usual) {
 		e.seenOf(f.upstream).Failed++
 	}
 }
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -117,6 +117,9 @@
 			t = tierLocal
 		}
 		score := e.score(u, key)
+		if t == tierUnhealthy {
+			score = u.lastSYN.Seconds() // in turn: their load says nothing
+		}
 		if t < bestTier || t == bestTier && score < bestScore {
 			best, bestScore, bestTier = u, score, t
 		}
