sparsync: large VMs serve more full copies at a time to smaller ones

Change: a VM serves twice as many full copies at a time to VMs of a class below, at most eight. Their links are the slower ones, and what is served is encoded once. Equal or unknown classes: two, as before.

--- a/internal/member/sparsync/serve.go
+++ b/internal/member/sparsync/serve.go
@@ -12,6 +12,8 @@
 	// links settings spread fastest if few pulls share a link, since a peer that has been served
 	// can serve others.
 	maxLargePulls = 2
+	// maxLargeDoublings limits those served by a VM of a higher class to four times as many.
+	maxLargeDoublings = 2
 	// maxSmallPulls is the same for small changes.
 	maxSmallPulls = 2 * fanOut
 	// LargePull is the number of bytes, before compression, from which changes are large: the
@@ -36,7 +38,7 @@
 // LargePull bytes of changes, or a small one. If ok, the caller must call Served afterwards.
 // Otherwise referral is a peer that holds the same settings, or the zero VM if none is on record.
 func (s *Sync) Serve(to sparconfig.VM, large bool) (referral sparconfig.VM, ok bool) {
-	if s.atLimit(large) {
+	if s.atLimit(to, large) {
 		return s.holder(to), false
 	}
 	*s.active(large)++
@@ -68,17 +70,20 @@
 	return &s.serving.small
 }
 
-// atLimit reports whether no more pulls of the same kind may be served now.
-func (s *Sync) atLimit(large bool) bool {
+// atLimit reports whether no more pulls of the same kind may be served to a peer now.
+func (s *Sync) atLimit(to sparconfig.VM, large bool) bool {
 	if large {
-		return s.serving.large >= s.largeLimit()
+		return s.serving.large >= s.largeLimit(to)
 	}
 	return s.serving.small >= maxSmallPulls
 }
 
-// largeLimit returns the number of large pulls served at a time: fewer where a VM of a higher
-// class can serve them.
-func (s *Sync) largeLimit() int {
+// largeLimit returns the number of large pulls served at a time to peers like to: more to those of
+// lower classes, whose links are slower, and fewer where a VM of a higher class can serve them.
+func (s *Sync) largeLimit(to sparconfig.VM) int {
+	if above := s.standing.class - to.Class(); above > 0 && to.Class() > 0 {
+		return maxLargePulls << min(above, maxLargeDoublings)
+	}
 	if s.serving.digest != s.held.Digest {
 		return maxLargePulls
 	}
@@ -140,7 +145,7 @@
 // none, a Confirm makes the peer query again later.
 func (s *Sync) refer(to sparconfig.VM, now time.Duration) []Output {
 	out := s.notify(to, now)
-	if s.atLimit(true) {
+	if s.atLimit(to, true) {
 		if out.Notification.From = s.holder(to); out.Notification.From.Name == "" {
 			return []Output{Confirm{To: to, Timing: s.timing(to.Name, now)}}
 		}
--- a/internal/member/sparsync/sim_test.go
+++ b/internal/member/sparsync/sim_test.go
@@ -85,6 +85,7 @@
 		refused, silent, unreachable bool
 		linkFree                     time.Duration // when the VM's link is free again
 		serving                      int
+		busiest                      int           // most full pulls served at once
 		listVersion                  int           // of the list of VMs that it has adopted
 		readyAt                      time.Duration // when it got settings after its start
 		partition                    int           // VMs of different partitions do not reach each other
@@ -382,6 +383,7 @@
 	large := m.large(pull)
 	if large {
 		m.serving++
+		m.busiest = max(m.busiest, m.serving)
 		s.busiest = max(s.busiest, m.serving)
 	}
 	took := time.Duration(0)
