--- a/internal/route/sparcookie/admit.go
+++ b/internal/route/sparcookie/admit.go
@@ -57,6 +57,7 @@
 		return true
 	}
 	e.admission.refused[sparadmit.ClassOf(opening.Priority)]++
+	e.suspendHedges()
 	return false
 }
 
@@ -124,15 +125,21 @@
 
 // setPool tells a limiter the slots of the upstreams that take new flows.
 func (e *Engine) setPool(service string, l *sparadmit.Limiter) {
-	slots := 0
-	if p := e.pools[service]; p != nil {
-		for _, u := range p.all {
-			if e.takesFlows(u) && u.health.AcceptsFlows() {
-				slots += u.Slots
-			}
+	l.SetPool(e.slotsOf(service), len(e.roster.VMs))
+}
+
+// slotsOf returns the slots of the upstreams of a service that take new flows.
+func (e *Engine) slotsOf(service string) (slots int) {
+	p := e.pools[service]
+	if p == nil {
+		return 0
+	}
+	for _, u := range p.all {
+		if e.takesFlows(u) && u.health.AcceptsFlows() {
+			slots += u.Slots
 		}
 	}
-	l.SetPool(slots, len(e.roster.VMs))
+	return slots
 }
 
 // emitOverload emits an event when the overload of a service begins or ends.
@@ -151,10 +158,12 @@
 	e.emit(OverloadChanged{Service: service, Began: began, State: state})
 }
 
-// SetAdmissionView sets the load of a service at all VMs. Without a recent one, the load of this VM is
-// taken for that of each VM.
-func (e *Engine) SetAdmissionView(service string, v sparadmit.View) {
-	e.limiter(service).SetView(e.now, v)
+// SetAdmissionView sets the requests to a service that are under way at all VMs, by reports of vms of
+// them that are as old as age. Without recent ones, the load of this VM is taken for that of each VM.
+func (e *Engine) SetAdmissionView(service string, requests float64, vms int, age time.Duration) {
+	if l := e.admission.limiters[service]; l != nil {
+		l.SetView(e.now, sparadmit.View{Pending: requests, Slots: e.slotsOf(service), VMs: vms, Age: age})
+	}
 }
 
 // AdmissionStates returns the admission state of each service that has had flows.
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -104,6 +104,7 @@
 // this failure domain is full: then upstreams of the others have the tier of local ones.
 func (e *Engine) bestOf(upstreams []*upstream, key flowKey, exclude *upstream, full bool) (best *upstream, bestTier tier) {
 	var bestScore float64
+	var bestTurn time.Duration
 	bestTier = tierNone
 	for _, u := range upstreams {
 		e.ejectOverdue(u)
@@ -114,12 +115,12 @@
 		if t == tierRemote && full {
 			t = tierLocal
 		}
-		score := e.score(u, key)
+		score, turn := e.score(u, key), time.Duration(0)
 		if t == tierUnhealthy {
-			score = u.lastSYN.Seconds() // in turn: their load says nothing
+			turn = u.lastSYN // their load says little
 		}
-		if t < bestTier || t == bestTier && score < bestScore {
-			best, bestScore, bestTier = u, score, t
+		if t < bestTier || t == bestTier && (turn < bestTurn || turn == bestTurn && score < bestScore) {
+			best, bestScore, bestTurn, bestTier = u, score, turn, t
 		}
 	}
 	return best, bestTier
--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -15,6 +15,7 @@
 	Refused  float64       // openings in the last second of each VM, scaled alike
 	VMs      int           // that it rests on, this one included
 	Oldest   time.Duration // age of the oldest report that counts
+	Whole    bool          // a VM of each failure domain is heard
 }
 
 // domainSum is the sum of the loads of the VMs heard in one failure domain.
@@ -55,6 +56,7 @@
 		l.Requests += sum.requests * scale
 		l.Refused += sum.refused * scale
 	}
+	l.Whole = len(sums) == len(b.domainVMs)
 	return l
 }
 
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -99,6 +99,7 @@
 		r.usualAt = now
 		for _, service := range vm.engine.Services() {
 			vm.engine.SetUsual(service, r.board.Usual(service, now))
+			vm.shareLoad(service, now)
 		}
 	}
 	if report, due := r.board.Compose(now); due {
@@ -106,6 +107,13 @@
 	}
 }
 
+// shareLoad tells admission the load of a service at all VMs, if each failure domain has reported.
+func (vm *VM) shareLoad(service string, now time.Duration) {
+	if l := vm.reporter.board.Load(service, now); l.Whole {
+		vm.engine.SetAdmissionView(service, l.Requests, l.VMs, l.Oldest)
+	}
+}
+
 // sendReport sends a report to the peers in turn, as far as the budget allows.
 func (vm *VM) sendReport(report sparevidence.Report, now time.Duration) {
 	r := vm.reporter
