sparcookie: flows that moved to another VM are not overdue here

Cause: where VMs come back, the fabric sends flows to them, and their requests stay pending at the VM that they came from, which counted them as overdue. A request counts now once its client repeats it or gives it up.

--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -185,7 +185,6 @@
 // sweepFlows deletes the records of flows that have ended.
 func (e *Engine) sweepFlows() {
 	for key, f := range e.flows {
-		e.noteOverdue(f)
 		idle := e.now - f.lastSeen
 		switch {
 		case f.closed && idle > openTimeout,
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -144,7 +144,9 @@
 	}
 }
 
-// noteOverdue counts the pending request of f once it is overdue, compared with other requests.
+// noteOverdue counts the pending request of f once it is overdue, compared with other requests. It
+// is called at a retransmission: without a sign of the client, its flow may have moved to another VM,
+// and this one sees no response.
 func (e *Engine) noteOverdue(f *flow) {
 	usual := f.upstream.service.usual
 	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 || e.now-e.pausedAt < catchUpTime {
--- a/internal/route/sparcookie/observe_test.go
+++ b/internal/route/sparcookie/observe_test.go
@@ -154,6 +154,23 @@
 	}
 }
 
+// TestMovedFlowsAreNotOverdue covers flows that the fabric sends to another VM, as each start of a VM
+// makes it do: their requests stay pending here, whatever their upstreams do.
+func TestMovedFlowsAreNotOverdue(t *testing.T) {
+	f := newFixture(t)
+	f.engine.SetUsual(booking, 30*time.Millisecond)
+	for range 10 {
+		c := f.newClient(bookingAddr)
+		c.open()
+		c.ackHandshake()
+		c.request()
+	}
+	f.wait(3 * time.Second)
+	if got := sum(f.engine.Observations()); got.Failed > 0 {
+		t.Errorf("%+v, want no failure", got)
+	}
+}
+
 // TestRequestsUnderWay checks the load that this VM tells: each request counts until its end.
 func TestRequestsUnderWay(t *testing.T) {
 	f := newFixture(t)
