--- a/internal/proof/sparsoak/evacuate.go
+++ b/internal/proof/sparsoak/evacuate.go
@@ -41,6 +41,7 @@
 	defer wg.Wait()
 	defer end()
 	wg.Go(func() { t.evacuations(faulty, rng) })
+	wg.Go(func() { t.injectUnwell(faulty) })
 	if t.plan.Restores {
 		t.injectWithRestores(ctx)
 		return
