sparcookie, sparevidence, sparadmit, sparentry: names that a newcomer stumbled on

Names only: slow start instead of ease for an upstream that has come back, charge for what counts against a quota, answersHere and fineHere for what this VM has seen itself, overloadRatio, leastCount, fullLoad and lowLoad.

--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -40,15 +40,15 @@
 	// maxPath is the wait for a SYN-ACK from which the SYN may have been retransmitted.
 	maxPath = 150 * time.Millisecond
 
-	// allTaken is the number of requests under way per slot from which all slots are taken.
-	allTaken = 1.0
-	// stillTaken replaces allTaken while flows are refused: this VM may refuse more than others.
-	stillTaken = 0.5
-	// manyFree is the number of requests under way per slot below which few requests queue.
-	manyFree = 0.7
-	// allQueueing is the number of requests under way per slot that means overload if nothing
+	// fullLoad is the number of requests under way per slot from which all slots are taken.
+	fullLoad = 1.0
+	// fullLoadRefusing replaces fullLoad while flows are refused: this VM may refuse more than others.
+	fullLoadRefusing = 0.5
+	// lowLoad is the number of requests under way per slot below which few requests queue.
+	lowLoad = 0.7
+	// overload is the number of requests under way per slot that means overload if nothing
 	// is known of response times.
-	allQueueing = 3.0
+	overload = 3.0
 	// maxQueueing limits the queueing delay that the control responds to.
 	maxQueueing = 3.0
 	// integralGain is the growth of the refused share per second at twice the allowed delay.
@@ -129,7 +129,7 @@
 	if q, ok := route.queueing(waited); ok && len(l.queued) < maxResponses {
 		l.queued = append(l.queued, q)
 	}
-	slotsFree := l.windows >= minWindows && l.perSlot(now) < manyFree
+	slotsFree := l.windows >= minWindows && l.perSlot(now) < lowLoad
 	route.observe(now, waited, slotsFree)
 	if route.base > 0 {
 		l.base = approach(l.base, route.base)
@@ -202,9 +202,9 @@
 // median returns the median queueing delay of the window in parts of the allowed one, or 0
 // while slots are free.
 func (l *Limiter) median(now time.Duration) float64 {
-	perSlot, taken := l.perSlot(now), allTaken
+	perSlot, taken := l.perSlot(now), fullLoad
 	if l.refused > 0 {
-		taken = stillTaken
+		taken = fullLoadRefusing
 	}
 	switch {
 	case perSlot < taken, l.relieved(now):
@@ -213,7 +213,7 @@
 		slices.Sort(l.queued)
 		return min(l.queued[len(l.queued)/2], maxQueueing)
 	case l.answered >= minResponses:
-		return min(perSlot/allQueueing, maxQueueing) // response times are not known yet
+		return min(perSlot/overload, maxQueueing) // response times are not known yet
 	}
 	return 0
 }
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -69,7 +69,7 @@
 		response = l.waited.Seconds() / float64(l.answered)
 	}
 	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path) * float64(l.ownVMs)
-	return pending < stillTaken*float64(l.ownSlots)
+	return pending < fullLoadRefusing*float64(l.ownSlots)
 }
 
 // perSlot returns the requests under way of all VMs per slot.
--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -16,10 +16,10 @@
 	domainProbeInterval = time.Second
 	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
 	recoveryLimit = 10 * time.Second
-	// easeTime is how long an upstream that has come back counts as easeShare of its
+	// slowStartTime is how long an upstream that has come back counts as slowStartShare of its
 	// capacity: all VMs see it with no flows and would send it theirs at once.
-	easeTime  = time.Second
-	easeShare = 0.25
+	slowStartTime  = time.Second
+	slowStartShare = 0.25
 	// pauseLimit is the time between two checks of openings from which on this VM was paused: then
 	// responses may be waiting that it has not read.
 	pauseLimit = 100 * time.Millisecond
@@ -139,7 +139,7 @@
 	d := u.domain
 	if d.suspectSince > 0 && u.lastResponse <= d.suspectSince {
 		d.answered++
-		u.easedUntil = e.now + easeTime
+		u.slowStartUntil = e.now + slowStartTime
 	}
 	d.lastResponse, d.silent = e.now, 0
 	if d.suspectSince > 0 && d.recovered(e.now) {
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -118,7 +118,7 @@
 		isObserved      bool                // it is in Engine.observed
 		goneSince       time.Duration       // when the evidence of several VMs showed that it is gone, or 0
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
-		easedUntil      time.Duration       // end of the time after its return in which it gets less load
+		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
 	}
 )
 
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -38,7 +38,7 @@
 		relayCopies  int           // packets also sent through another VM
 		overdue      bool          // the pending request has counted as overdue
 		opened       bool
-		prepaid      bool // its next request has counted as its opening
+		charged      bool // its next request has counted as its opening
 		closed       bool
 		hedge        hedgeState
 	}
@@ -68,7 +68,7 @@
 		f.opened = true
 		f.ack, f.nextSeq = s.Ack, s.Seq
 		obs = observation{answered: true, first: true, waited: e.now - f.began}
-		e.recordOpening(obs.waited)
+		e.recordOpeningTime(obs.waited)
 		e.noteOpened(f.upstream)
 		e.noteProgress(f)
 	}
@@ -104,7 +104,7 @@
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
-		e.countRequest(f)
+		e.chargeRequest(f)
 		e.beginPending(f)
 		f.upstream.recent.add(e.now, recentSpan)
 		f.upstream.rate.add(e.now, rateSpan)
@@ -134,7 +134,7 @@
 	u := f.upstream
 	e.noteAnswer(u)
 	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
-	e.noteBack(u, u.health.Answered(e.now))
+	e.noteReturn(u, u.health.Answered(e.now))
 }
 
 // noteUnanswered records that u has not answered a packet of f and no other client has
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -66,7 +66,7 @@
 	e.forget(key)
 	f := &flow{upstream: u, began: began, lastProgress: e.now, lastSeen: e.now}
 	e.record(key, f)
-	e.countOpening(f)
+	e.chargeOpening(f)
 	if u.pendingSince == 0 {
 		u.pendingSince = e.now
 	}
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -178,14 +178,14 @@
 	}
 	h.stats.Sent++
 	f.hedge.rival = e.markPlaced(second)
-	e.countSYN(second)
+	e.chargeSYN(second)
 	v := e.send(Hedged, second)
 	v.Waited = e.now - f.began
 	h.due = append(h.due, Hedge{Slot: item.Slot, From: item.Key.client, To: item.Key.service, First: f.upstream.Upstream, Verdict: v})
 }
 
-// recordOpening records how long an opening took, at whichever upstream.
-func (e *Engine) recordOpening(waited time.Duration) {
+// recordOpeningTime records how long an opening took, at whichever upstream.
+func (e *Engine) recordOpeningTime(waited time.Duration) {
 	if e.hedges != nil {
 		e.hedges.times.Record(waited, e.now)
 	}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -144,7 +144,7 @@
 	switch {
 	case !e.takesFlows(u), e.outOfQuota(u):
 		return tierNone
-	case !u.health.AcceptsFlows(), e.unsure(u), e.avoided(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
+	case !u.health.AcceptsFlows(), e.leftToHolders(u), e.avoided(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
 	case e.distrust && u.unproven(), u.weight == 0:
 		return tierUnhealthy
@@ -178,8 +178,8 @@
 	if e.now < u.warmUntil {
 		capacity *= e.warmingCapacity(u)
 	}
-	if e.now < u.easedUntil {
-		capacity *= easeShare
+	if e.now < u.slowStartUntil {
+		capacity *= slowStartShare
 	}
 	return load / capacity
 }
--- a/internal/route/sparcookie/second.go
+++ b/internal/route/sparcookie/second.go
@@ -8,7 +8,7 @@
 // fit. It is in another failure domain if that of first is suspect or full.
 func (e *Engine) secondUpstream(p *pool, key flowKey, first *upstream) (best *upstream) {
 	full := e.domainFull(p.local, e.serviceTime(first.Service))
-	suspect := e.domainSuspect(p, first.Domain)
+	suspect := e.domainFailing(p, first.Domain)
 	bestTier, bestScore := tierNone, 0.0
 	for _, u := range p.all {
 		if u == first || !e.fitForHedge(u) || suspect && u.Domain == first.Domain || full && u.Domain == e.domain {
@@ -54,9 +54,9 @@
 	return slots > 0 && busy >= hedgeUtilization*float64(slots)
 }
 
-// domainSuspect reports whether at least two upstreams of a failure domain, and half of those that
+// domainFailing reports whether at least two upstreams of a failure domain, and half of those that
 // take flows, are ejected or have lost a race since their last response.
-func (e *Engine) domainSuspect(p *pool, domain string) bool {
+func (e *Engine) domainFailing(p *pool, domain string) bool {
 	suspects, all := 0, 0
 	for _, u := range p.all {
 		if u.Domain != domain || !e.takesFlows(u) {
--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -169,14 +169,14 @@
 	return e.limited(u) && u.quota.window.Count(e.now) >= e.part(u)
 }
 
-// countOpening counts a SYN that is sent to the upstream of f. The first request of the flow
+// chargeOpening counts a SYN that is sent to the upstream of f. The first request of the flow
 // then counts with it.
-func (e *Engine) countOpening(f *flow) {
-	f.prepaid = e.countSYN(f.upstream)
+func (e *Engine) chargeOpening(f *flow) {
+	f.charged = e.chargeSYN(f.upstream)
 }
 
-// countSYN counts a SYN that is sent to u. It reports whether u has a quota.
-func (e *Engine) countSYN(u *upstream) bool {
+// chargeSYN counts a SYN that is sent to u. It reports whether u has a quota.
+func (e *Engine) chargeSYN(u *upstream) bool {
 	if u.quota == nil {
 		return false
 	}
@@ -187,10 +187,10 @@
 	return true
 }
 
-// countRequest counts a request on an open flow.
-func (e *Engine) countRequest(f *flow) {
-	if f.prepaid {
-		f.prepaid = false
+// chargeRequest counts a request on an open flow.
+func (e *Engine) chargeRequest(f *flow) {
+	if f.charged {
+		f.charged = false
 		return
 	}
 	if u := f.upstream; u.quota != nil {
@@ -200,7 +200,7 @@
 
 // repeatSYN sends a retransmitted SYN to the same upstream, which then gets one opening more.
 func (e *Engine) repeatSYN(f *flow) Verdict {
-	e.countOpening(f)
+	e.chargeOpening(f)
 	return e.send(Repeated, f.upstream)
 }
 
--- a/internal/route/sparcookie/warmback.go
+++ b/internal/route/sparcookie/warmback.go
@@ -2,18 +2,18 @@
 
 import "math"
 
-// noteBack records that u has answered again after an ejection.
-func (e *Engine) noteBack(u *upstream, changed bool) {
+// noteReturn records that u has answered again after an ejection.
+func (e *Engine) noteReturn(u *upstream, changed bool) {
 	if changed && u.quota != nil {
 		u.quota.back = e.now
 	}
 	e.emitHealth(u, changed)
 }
 
-// unsure reports whether u may have restarted under its ID without the settings saying so yet: it
+// leftToHolders reports whether u may have restarted under its ID without the settings saying so yet: it
 // has answered again after an ejection, and they are of before its next heartbeat. Then only
 // holders use it, unless nothing else is left.
-func (e *Engine) unsure(u *upstream) bool {
+func (e *Engine) leftToHolders(u *upstream) bool {
 	q := u.quota
 	if q == nil || q.back == 0 || math.IsInf(q.rate.Value(e.now), 1) || e.warm.lease.CompleteAt() > q.back+e.warm.beat {
 		return false
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -107,7 +107,7 @@
 // reported that it did.
 func (b *Board) worthNaming(id uint64, r *record, now time.Duration) bool {
 	c := r.value(now)
-	if c.samples() < witnessed {
+	if c.samples() < leastCount {
 		return false
 	}
 	if bad(c) {
@@ -135,7 +135,7 @@
 		if b.pressed {
 			e.Load = domainLoads(s.load)
 		}
-		if s.value(now).samples() >= witnessed || len(e.Load) > 0 {
+		if s.value(now).samples() >= leastCount || len(e.Load) > 0 {
 			list = append(list, e)
 		}
 	}
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -29,9 +29,9 @@
 	span = 5 * time.Second
 	// reportAge is the age at which a report ends.
 	reportAge = 3 * span
-	// witnessed is the decayed count of failures from which on a VM is a witness: one failure
+	// leastCount is the decayed count of failures from which on a VM is a witness: one failure
 	// within the last 8 s.
-	witnessed = 0.2
+	leastCount = 0.2
 	// vmSamples bounds the part of one VM: its counts are scaled down to as many samples.
 	vmSamples = 4
 )
@@ -126,7 +126,7 @@
 
 // ratio returns the share of bad in bad and good, 0 for next to nothing.
 func ratio(bad, good float64) float64 {
-	if bad < witnessed {
+	if bad < leastCount {
 		return 0
 	}
 	return bad / (bad + max(good, 0))
--- a/internal/route/sparevidence/gone.go
+++ b/internal/route/sparevidence/gone.go
@@ -43,7 +43,7 @@
 // silent reports whether a VM that has had no answer since has seen an opening unanswered.
 func (e merged) silent() bool {
 	for _, v := range e.views {
-		if v.streak > 0 && v.openedAt < v.streak && v.counts.Unanswered >= witnessed {
+		if v.streak > 0 && v.openedAt < v.streak && v.counts.Unanswered >= leastCount {
 			return true
 		}
 	}
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -24,14 +24,14 @@
 	if e.split {
 		s.splitAt = m.now
 	}
-	if peers := m.peers(b.upstreams[e.id].Service); peers.FailureRatio() >= crowdedRatio && !e.unanimous {
+	if peers := m.peers(b.upstreams[e.id].Service); peers.FailureRatio() >= overloadRatio && !e.unanimous {
 		s.ejectedUntil, s.trialSince, s.hold = 0, 0, 0
 		return b.ease(e, m)
 	}
 	switch {
 	case s.ejectedUntil > 0:
 		answered := e.answeredSince(s.ejectedUntil-s.hold) >= trialAnswers
-		if answered || e.refuted || m.now >= s.ejectedUntil {
+		if answered || e.answersHere || m.now >= s.ejectedUntil {
 			s.ejectedUntil, s.trialSince, s.answers = 0, m.now, 0
 		}
 	case s.trialSince > 0:
@@ -90,7 +90,7 @@
 
 // eject begins an ejection. One that follows a trial lasts longer than the one before.
 func (s *subject) eject(now time.Duration) {
-	s.hold = min(max(2*s.hold, baseHold), maxHold)
+	s.hold = min(max(2*s.hold, baseEjection), maxEjection)
 	s.ejectedUntil, s.trialSince, s.answers = now+s.hold, 0, 0
 }
 
@@ -107,7 +107,7 @@
 func (b *Board) ease(e merged, m *merger) opinion {
 	peers := m.peers(b.upstreams[e.id].Service)
 	o := opinion{merged: e, weight: 1, cause: Fine}
-	if e.failing >= 2 && !e.denied {
+	if e.failing >= 2 && !e.fineHere {
 		o.weight = ramp(e.counts.FailureRatio(), 2*peers.FailureRatio()+failMargin, Trickle)
 		o.cause = Partial
 	}
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -29,18 +29,18 @@
 
 	// merged is the evidence about one upstream.
 	merged struct {
-		id        uint64
-		counts    Counts
-		views     []view
-		inARow    float64       // failures since the last answer to each VM
-		onset     time.Duration // since when two VMs have seen nothing but failures, or 0
-		failing   int           // VMs that have seen failures
-		slow      int           // VMs that have seen slow answers
-		witnesses []string      // VMs of either kind
-		unanimous bool          // each VM that reports to this one has seen nothing but failures
-		split     bool          // it has answered a VM since onset
-		refuted   bool          // it has answered this VM since the others saw it fail
-		denied    bool          // and it has not failed this VM lately
+		id          uint64
+		counts      Counts
+		views       []view
+		inARow      float64       // failures since the last answer to each VM
+		onset       time.Duration // since when two VMs have seen nothing but failures, or 0
+		failing     int           // VMs that have seen failures
+		slow        int           // VMs that have seen slow answers
+		witnesses   []string      // VMs of either kind
+		unanimous   bool          // each VM that reports to this one has seen nothing but failures
+		split       bool          // it has answered a VM since onset
+		answersHere bool          // it has answered this VM since the others saw it fail
+		fineHere    bool          // and it has not failed this VM lately
 	}
 )
 
@@ -72,7 +72,7 @@
 func (b *Board) seen(now time.Duration) (seen, bad int) {
 	for _, r := range b.own {
 		c := r.value(now)
-		if c.samples() < witnessed {
+		if c.samples() < leastCount {
 			continue
 		}
 		seen++
@@ -97,7 +97,7 @@
 	}
 	others := m.board.expected()
 	e.unanimous = others > 0 && agreeing == len(e.views) && agreeing >= others
-	m.refute(&e)
+	m.noteOwnAnswers(&e)
 	return e
 }
 
@@ -155,7 +155,7 @@
 func (e *merged) add(v view) {
 	c := v.counts.bounded()
 	e.counts = e.counts.plus(c)
-	failing, slow := c.Failures() >= witnessed, c.Slow >= witnessed
+	failing, slow := c.Failures() >= leastCount, c.Slow >= leastCount
 	switch {
 	case v.streak > 0:
 		e.inARow += max(1, c.Failures())
@@ -173,20 +173,20 @@
 	}
 }
 
-// refute notes whether this VM has had answers since others see nothing but failures: then the
+// noteOwnAnswers notes whether this VM has had answers since others see nothing but failures: then the
 // upstream has not failed, but they don't reach it.
-func (m *merger) refute(e *merged) {
+func (m *merger) noteOwnAnswers(e *merged) {
 	r := m.board.own[e.id]
 	if r == nil || e.onset == 0 || r.streak > 0 {
 		return
 	}
 	good := r.answeredAt
-	if e.counts.Failed < witnessed {
+	if e.counts.Failed < leastCount {
 		good = max(good, r.openedAt)
 	}
-	e.refuted = good > e.onset
-	e.split = e.split || e.refuted
-	e.denied = e.refuted && r.value(m.now).Failures() < witnessed
+	e.answersHere = good > e.onset
+	e.split = e.split || e.answersHere
+	e.fineHere = e.answersHere && r.value(m.now).Failures() < leastCount
 }
 
 // peers returns the counts of the upstreams of a service about which there is no evidence, with
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -14,9 +14,9 @@
 
 	// failedRatio is the share of failures from which on hardly anything is answered.
 	failedRatio = 0.9
-	// crowdedRatio is the share of failures of all upstreams of a service from which on none is
+	// overloadRatio is the share of failures of all upstreams of a service from which on none is
 	// ejected unless all VMs agree: demand is above what they can do.
-	crowdedRatio = 0.2
+	overloadRatio = 0.2
 	// confirmTime is how long two VMs must have seen nothing but failures, and confirmFailures
 	// the number of failures that needs no such wait: four recent ones, which have decayed a little.
 	// Meanwhile others report their answers.
@@ -25,10 +25,10 @@
 	// confirmChance is the chance that as many failures in a row are due to what the service
 	// loses anyway.
 	confirmChance = 1e-4
-	// baseHold is how long an ejection by evidence lasts at first. Each one that follows
-	// another doubles it, up to maxHold.
-	baseHold = 2 * time.Second
-	maxHold  = 16 * time.Second
+	// baseEjection is how long an ejection by evidence lasts at first. Each one that follows
+	// another doubles it, up to maxEjection.
+	baseEjection = 2 * time.Second
+	maxEjection  = 16 * time.Second
 	// easeAfter is the age of the first evidence about an upstream from which on it may get less
 	// load: others that have answers of it report them meanwhile.
 	easeAfter = 2 * time.Second
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -16,35 +16,35 @@
 )
 
 const (
-	// usualEvery is the time between two updates of the usual response times.
-	usualEvery = time.Second
+	// servicesEvery is the time between two updates of the usual response times.
+	servicesEvery = time.Second
 	// refusedReportEvery is the least time between two lines about refused reports.
 	refusedReportEvery = time.Second
 )
 
 // reporter shares evidence about upstreams with other VMs. Use newReporter.
 type reporter struct {
-	board     *sparevidence.Board
-	budget    sparevidence.Budget
-	vms       []sparconfig.VM // as listed
-	upstreams []sparevidence.Upstream
-	peers     []sparconfig.VM // that reports go to
-	far       []sparconfig.VM // that are told the load as well
-	next      int             // index of the peer to begin with
-	usualAt   time.Duration
-	refusedAt time.Duration // last line about a refused report
-	refused   map[string]int64
-	sent      uint64
-	received  uint64
-	unsent    uint64 // for lack of budget
+	board      *sparevidence.Board
+	budget     sparevidence.Budget
+	vms        []sparconfig.VM // as listed
+	upstreams  []sparevidence.Upstream
+	peers      []sparconfig.VM // that reports go to
+	far        []sparconfig.VM // that are told the load as well
+	next       int             // index of the peer to begin with
+	servicesAt time.Duration
+	refusedAt  time.Duration // last line about a refused report
+	refused    map[string]int64
+	sent       uint64
+	received   uint64
+	unsent     uint64 // for lack of budget
 }
 
 func newReporter(self string) *reporter {
 	return &reporter{board: sparevidence.New(self, rand.Uint32()), refused: map[string]int64{}}
 }
 
-// shareRoster tells the board the settings in force.
-func (vm *VM) shareRoster(roster sparroster.Roster) {
+// updateBoard tells the board the settings in force.
+func (vm *VM) updateBoard(roster sparroster.Roster) {
 	r := vm.reporter
 	if !slices.Equal(roster.VMs, r.vms) {
 		r.vms = roster.VMs
@@ -95,11 +95,11 @@
 		vm.engine.SetGone(c.Upstream.ID, c.Gone)
 		vm.logWeight(c)
 	}
-	if now-r.usualAt >= usualEvery {
-		r.usualAt = now
+	if now-r.servicesAt >= servicesEvery {
+		r.servicesAt = now
 		for _, service := range vm.engine.Services() {
 			vm.engine.SetUsual(service, r.board.Usual(service, now))
-			vm.shareLoad(service, now)
+			vm.updateAdmissionView(service, now)
 		}
 	}
 	if report, due := r.board.Compose(now); due {
@@ -107,8 +107,8 @@
 	}
 }
 
-// shareLoad tells admission the load of a service at all VMs, if each failure domain has reported.
-func (vm *VM) shareLoad(service string, now time.Duration) {
+// updateAdmissionView tells admission the load of a service at all VMs, if each failure domain has reported.
+func (vm *VM) updateAdmissionView(service string, now time.Duration) {
 	if l := vm.reporter.board.Load(service, now); l.Whole {
 		vm.engine.SetAdmissionView(service, l.Requests, l.VMs, l.Oldest)
 	}
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -148,7 +148,7 @@
 	before := vm.engine.Roster()
 	roster := before.With(next, platform.Decode)
 	vm.engine.Apply(roster)
-	vm.shareRoster(roster)
+	vm.updateBoard(roster)
 	vm.sync.List(roster.VMs, vm.clock.now())
 	vm.logSettings(before, roster, from)
 	if !vm.synced {
