review: faults that two readers found, mended

- evidence of other failure domains counted towards an ejection; entries of a restarted upstream stayed heard; a streak from before a VM's start counted as never.
- admission: the load that VMs report is used for 2.5 s instead of almost never, counts idle VMs, and needs half of the own domain; an objective of nearly 0 refused everything.
- status: a service of a team called evacuation ended the command; check took a document with the value platform for a settings file; openings that wait were hedged at once when too few times are known.

--- a/internal/operator/sparcli/check.go
+++ b/internal/operator/sparcli/check.go
@@ -1,11 +1,11 @@
 package sparcli
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"regexp"
 
 	"github.com/juju/errors"
 
@@ -14,6 +14,9 @@
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
+// platformKey matches the key of a settings file that no service document has.
+var platformKey = regexp.MustCompile(`"platform"\s*:`)
+
 type (
 	checkCommand struct {
 		File    string `arg:"positional,required" help:"settings file, service document or configuration"`
@@ -70,9 +73,9 @@
 }
 
 // isSettings reports whether a text is the settings file of a VM. Of the others only a configuration
-// may contain the word, as the name of a service.
+// may contain the word as a key, as the name of a service.
 func isSettings(text []byte) bool {
-	return bytes.Contains(text, []byte(`"platform"`)) && !platform.IsRouting(text)
+	return platformKey.Match(text) && !platform.IsRouting(text)
 }
 
 func (c *checkCommand) checkSettings(text []byte) (r sparcheck.Report, err error) {
--- a/internal/operator/sparstatus/status.go
+++ b/internal/operator/sparstatus/status.go
@@ -227,11 +227,12 @@
 }
 
 func (d deriver) service(name string) []Fact {
-	if strings.HasPrefix(name, sparroster.EvacuationPrefix) {
-		return []Fact{evacuationProblem(d.problem(name))}
-	}
 	var facts []Fact
-	if p := d.problem(name); p != nil {
+	p := d.problem(name)
+	if at, _ := d.revision(name); p != nil && at.IsZero() && strings.HasPrefix(name, sparroster.EvacuationPrefix) {
+		return []Fact{evacuationProblem(p)} // not of a service, which could have that name
+	}
+	if p != nil {
 		kept := "no revision is in force"
 		if p.Kept > 0 {
 			kept = fmt.Sprintf("revision %d stays", p.Kept)
--- a/internal/peer/sparcontrol/evidence.go
+++ b/internal/peer/sparcontrol/evidence.go
@@ -46,14 +46,14 @@
 func fromSighting(e sparevidence.Entry) *Sighting {
 	return &Sighting{
 		Id: e.ID, Born: e.Born, Counts: fromCounts(e.Counts),
-		Opened: fromAge(e.Opened), Answered: fromAge(e.Answered), Failed: fromAge(e.Failed), Streak: fromAge(e.Streak),
+		Answered: fromAge(e.Answered), Failed: fromAge(e.Failed), Streak: fromAge(e.Streak),
 	}
 }
 
 func toSighting(m *Sighting) sparevidence.Entry {
 	return sparevidence.Entry{
 		ID: m.GetId(), Born: m.GetBorn(), Counts: toCounts(m.GetCounts()),
-		Opened: toEventAge(m.GetOpened()), Answered: toEventAge(m.GetAnswered()), Failed: toEventAge(m.GetFailed()), Streak: toEventAge(m.GetStreak()),
+		Answered: toEventAge(m.GetAnswered()), Failed: toEventAge(m.GetFailed()), Streak: toEventAge(m.GetStreak()),
 	}
 }
 
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxViewAge is the age from which figures of all VMs are not used.
-	maxViewAge = time.Second
+	// maxViewAge is the age from which figures of all VMs are not used: two reports and some delay.
+	maxViewAge = 2500 * time.Millisecond
 	// loadSpan is the time over which the requests under way are averaged.
 	loadSpan = 500 * time.Millisecond
 	// reliefTime is the least time over which fewer requests show that the demand has fallen.
@@ -13,7 +13,7 @@
 	meanCount = 64
 )
 
-// View is the load of a service at all VMs.
+// View is the load of a service at all VMs, by their reports.
 type View struct {
 	Pending float64 // requests under way
 	Slots   int     // of the upstreams that take new flows
--- a/internal/route/sparadmit/times.go
+++ b/internal/route/sparadmit/times.go
@@ -19,6 +19,8 @@
 	objectiveShare = 0.25
 	// baseShare is the number of response times without queueing that a request may queue.
 	baseShare = 1.5
+	// leastAllowed keeps ratios to the allowed time finite.
+	leastAllowed = time.Millisecond
 	// rejectedShare is the part of the usual response time below which a response counts as
 	// the rejection of a full upstream.
 	rejectedShare = 0.5
@@ -49,7 +51,7 @@
 	if t.objective > 0 {
 		allowed = min(allowed, time.Duration(objectiveShare*float64(t.objective)))
 	}
-	return allowed
+	return max(allowed, leastAllowed)
 }
 
 // queueing returns how long a request has queued, in parts of the allowed time. ok is false if
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -116,7 +116,7 @@
 		pending         int                 // requests under way of flows on record
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
-		goneSince       time.Duration       // when the evidence of several VMs showed that it is gone, or 0
+		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
 	}
@@ -185,8 +185,8 @@
 		if u.Draining != entry.Draining || u.removed || u.unusable {
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
-		if u.removed {
-			u.weight, u.goneSince = 1, 0 // the evidence ended with its entry
+		if u.removed || u.unusable {
+			u.weight = 1 // the evidence ended with its entry
 		}
 		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -157,25 +157,19 @@
 	return v
 }
 
-// gone reports whether the evidence of the VMs of its own failure domain, this one among them, shows
-// that u is gone: what comes between two domains can't be the cause.
-func (e *Engine) gone(u *upstream) bool {
-	return u.goneSince > u.lastResponse && u.Domain == e.domain
-}
-
 // mayReset reports whether a flow with unanswered retransmissions may be reset: its
-// upstream is not in the roster, or is gone, and answers no client of this VM. An upstream that drained
-// before its removal has stopped as planned, and one that several VMs had ejected has crashed.
+// upstream is not in the roster and answers no client of this VM. An upstream that drained
+// before its removal has stopped as planned, and one that had crashed has crashed for others too.
 // Otherwise its entry may have expired while it is still running, so other VMs are tried first.
 func (e *Engine) mayReset(u *upstream, f *flow) bool {
 	silent := e.now-max(f.lastProgress, u.lastResponse) >= minRetransmitAge
-	if !silent {
-		return false
-	}
-	if u.removed {
-		return u.Draining || u.weight == 0 || f.relayCopies >= relaysBeforeReset
-	}
-	return e.gone(u)
+	return u.removed && silent && (u.Draining || e.crashed(u) || f.relayCopies >= relaysBeforeReset)
+}
+
+// crashed reports whether the VMs of its own failure domain, this one among them, had ejected u when
+// its entry was removed, and it has answered none of the clients of this VM since.
+func (e *Engine) crashed(u *upstream) bool {
+	return u.weight == 0 && u.lastResponse < u.ejectedAt && u.Domain == e.domain
 }
 
 // mayServe reports whether u may have flows of the route. Before this VM first saw the
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -8,6 +8,10 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
+// maxHedgeWait is the age of an opening from which on it is not hedged: its client sends a copy, or
+// this VM was paused and has not read the answer yet.
+const maxHedgeWait = minRetransmitAge
+
 // HedgeSlots is the number of openings that may wait for an answer or a hedge. Beyond it
 // openings are not hedged: at 20 ms each that is more than a VM can forward.
 const HedgeSlots = 512
@@ -111,7 +115,10 @@
 		return 0, false
 	}
 	began, ok := e.hedges.queue.Oldest()
-	delay, _ := e.hedges.times.Delay()
+	delay, known := e.hedges.times.Delay()
+	if !known {
+		delay = maxHedgeWait
+	}
 	return began + delay, ok
 }
 
@@ -124,7 +131,10 @@
 	}
 	h := e.hedges
 	h.due = h.due[:0]
-	delay, _ := h.times.Delay()
+	delay, ok := h.times.Delay()
+	if !ok {
+		delay = maxHedgeWait // what waits for longer is not hedged any more
+	}
 	for {
 		item, ok := h.queue.Next(e.now - delay)
 		if !ok {
@@ -137,19 +147,18 @@
 }
 
 // unansweredOpening returns the flow of a queued opening, or nil if it is not to be hedged any more:
-// it is open or has ended, or its client has sent or is about to send a copy of the SYN.
+// it is open or has ended, or its client has sent or is about to send a copy of the SYN. It marks the
+// upstream of one that is to be hedged as avoided.
 func (e *Engine) unansweredOpening(item sparhedge.Item[flowKey]) *flow {
 	f := e.flows[item.Key]
 	if f == nil || !f.hedge.awaiting || f.began != item.Began {
 		return nil
 	}
 	f.hedge.awaiting = false
-	if !f.opened && !f.closed {
-		f.upstream.avoidedAt = e.now
-	}
-	if f.opened || f.closed || e.now-f.began >= minRetransmitAge {
+	if f.opened || f.closed || e.now-f.began >= maxHedgeWait {
 		return nil
 	}
+	f.upstream.avoidedAt = e.now
 	return f
 }
 
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -38,22 +38,14 @@
 // SetWeight sets the weight of an upstream for new flows by the evidence of several VMs, between
 // 0 for an ejected one and 1.
 func (e *Engine) SetWeight(id uint64, weight float64) {
-	if u := e.upstreams[id]; u != nil {
-		u.weight = min(1, max(0, weight))
-	}
-}
-
-// SetGone sets whether no VM has had a sign of life from an upstream since several have seen it
-// fail.
-func (e *Engine) SetGone(id uint64, gone bool) {
 	u := e.upstreams[id]
-	switch {
-	case u == nil:
-	case !gone:
-		u.goneSince = 0
-	case u.goneSince == 0:
-		u.goneSince = e.now
+	if u == nil {
+		return
+	}
+	if weight <= 0 && u.weight > 0 {
+		u.ejectedAt = e.now
 	}
+	u.weight = min(1, max(0, weight))
 }
 
 // SetUsual sets the usual response time of a service, 0 if it is not known.
--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -18,6 +18,8 @@
 		wait  time.Duration
 		beat  time.Duration              // between two heartbeats of an upstream to the platform
 		rates map[string]*sparquota.Rate // limits by service
+
+		ranking uint64 // rises when ranks may change
 	}
 
 	// warmQuota is the part of this VM in the limit of one upstream.
@@ -27,6 +29,7 @@
 		domain string          // of the upstream, which the rank depends on
 		from   time.Duration   // when all VMs know the domain
 		rank   int
+		ranked uint64        // warmLimits.ranking that the rank belongs to
 		back   time.Duration // when it answered again after an ejection, 0 if it never did
 		holder bool          // as announced last
 	}
@@ -74,7 +77,7 @@
 	for _, entry := range r.Upstreams {
 		e.applyQuota(e.upstreams[entry.ID])
 	}
-	e.rankWarm()
+	e.warm.ranking++
 }
 
 // applyWarmRates sets the limit of each service that has a warm rate, or had one.
@@ -117,23 +120,23 @@
 	u.quota.rate = rate
 }
 
-// rankWarm ranks this VM for each upstream whose service has a warm rate.
-func (e *Engine) rankWarm() {
-	for _, u := range e.upstreams {
-		if u.quota != nil {
-			u.quota.rank = e.warm.lease.Rank(u.ID, u.quota.domain)
-		}
+// rankOf returns the rank of this VM for u, which has a quota.
+func (e *Engine) rankOf(u *upstream) int {
+	q := u.quota
+	if q.ranked != e.warm.ranking {
+		q.rank, q.ranked = e.warm.lease.Rank(u.ID, q.domain), e.warm.ranking
 	}
+	return q.rank
 }
 
-// tickWarm ranks this VM anew when a VM that left counts no more, and announces where this VM
+// tickWarm has this VM ranked anew when a VM that left counts no more, and announces where this VM
 // has become a holder or has ceased to be one.
 func (e *Engine) tickWarm() {
 	if e.warm.lease == nil {
 		return
 	}
 	if e.warm.lease.Expire(e.now) {
-		e.rankWarm()
+		e.warm.ranking++
 	}
 	for _, u := range e.upstreams {
 		if u.quota == nil {
@@ -161,7 +164,7 @@
 	if !e.warm.lease.Active(e.now) || e.now < u.quota.from {
 		return 0
 	}
-	return sparquota.Part(u.quota.rate.Value(e.now), u.quota.rank)
+	return sparquota.Part(u.quota.rate.Value(e.now), e.rankOf(u))
 }
 
 // outOfQuota reports whether u warms up and may get no opening from this VM now.
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -89,6 +89,9 @@
 		if b.upstreams[id] != u {
 			delete(b.own, id)
 			delete(b.subjects, id)
+			for _, s := range b.heard {
+				delete(s.entries, id) // of the start before
+			}
 		}
 	}
 	for service := range b.ownService {
--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -15,7 +15,7 @@
 	Refused  float64       // openings in the last second of each VM, scaled alike
 	VMs      int           // that it rests on, this one included
 	Oldest   time.Duration // age of the oldest report that counts
-	Whole    bool          // a VM of each failure domain is heard
+	Whole    bool          // each failure domain is heard, and half of the VMs of the own one
 }
 
 // domainSum is the sum of the loads of the VMs heard in one failure domain.
@@ -38,7 +38,7 @@
 	}
 	for name, s := range b.heard {
 		e, age := s.services[service], now-s.at
-		if len(e.Load) == 0 || age > 2*reportEvery {
+		if age > 2*reportEvery {
 			continue
 		}
 		l.Oldest = max(l.Oldest, age)
@@ -56,7 +56,8 @@
 		l.Requests += sum.requests * scale
 		l.Refused += sum.refused * scale
 	}
-	l.Whole = len(sums) == len(b.domainVMs)
+	near := sums[b.vms[b.self].Domain].vms - 1
+	l.Whole = l.VMs > 1 && len(sums) == len(b.domainVMs) && 2*near >= b.expected()
 	return l
 }
 
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -21,7 +21,6 @@
 		name       string
 		counts     Counts
 		streak     time.Duration // first failure since its last answer, or 0
-		openedAt   time.Duration
 		answeredAt time.Duration
 		failedAt   time.Duration
 		own        bool
@@ -44,19 +43,20 @@
 	}
 )
 
-// newMerger returns a merger of the evidence that counts now. A VM for which most upstreams fail
+// newMerger returns a merger of the evidence that counts now: that of this failure domain, since what
+// fails for another one may be the fault of the links between them. A VM for which most upstreams fail
 // does not count, unless it is so for all.
 func (b *Board) newMerger(now time.Duration) *merger {
 	m := &merger{board: b, now: now, rest: map[string]Counts{}}
 	seen, bad := b.seen(now)
 	m.sick = Report{Seen: seen, Bad: bad}.sick()
 	allSick := m.sick && len(b.heard) > 0
-	for _, s := range b.heard {
-		allSick = allSick && s.sick
+	for name, s := range b.heard {
+		allSick = allSick && (s.sick || !b.near(name))
 	}
 	m.sick = m.sick && !allSick
 	for name, s := range b.heard {
-		if allSick || !s.sick {
+		if b.near(name) && (allSick || !s.sick) {
 			m.names = append(m.names, name)
 		}
 	}
@@ -67,6 +67,9 @@
 	return m
 }
 
+// near reports whether a VM is in the failure domain of this one.
+func (b *Board) near(name string) bool { return b.vms[name].Domain == b.vms[b.self].Domain }
+
 // seen returns how many upstreams this VM has seen lately, and how many of them have answered
 // nothing.
 func (b *Board) seen(now time.Duration) (seen, bad int) {
@@ -127,11 +130,11 @@
 	for i, s := range m.sources {
 		h, ok := s.entries[id]
 		if settled := h.failedAt > 0 && h.failedAt <= cleared; ok && !settled {
-			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, openedAt: h.openedAt, answeredAt: h.answeredAt, failedAt: h.failedAt})
+			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, answeredAt: h.answeredAt, failedAt: h.failedAt})
 		}
 	}
 	if r := m.board.own[id]; r != nil && !m.sick {
-		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, openedAt: r.openedAt, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
+		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
 	}
 	return views
 }
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -40,7 +40,6 @@
 		Born   uint32 // lower bits of the start of the upstream
 		Counts Counts
 		// Ages when the report was sent, or Never.
-		Opened   time.Duration // of the last opening that was answered
 		Answered time.Duration // of the last answered request
 		Failed   time.Duration // of the last failure
 		Streak   time.Duration // of the first failure since the last answered request
@@ -86,7 +85,6 @@
 	// heardEntry is an entry by the clock of this VM. Its times are 0 for never.
 	heardEntry struct {
 		counts     Counts
-		openedAt   time.Duration
 		failedAt   time.Duration
 		answeredAt time.Duration
 		streak     time.Duration // first failure since the last answer
@@ -129,7 +127,7 @@
 	}
 	ok := r.Sent >= 0 && r.Bad >= 0 && r.Seen >= r.Bad
 	for _, e := range r.Upstreams {
-		ok = ok && e.Counts.valid() && validAge(e.Opened) && validAge(e.Answered) && validAge(e.Failed) && validAge(e.Streak)
+		ok = ok && e.Counts.valid() && validAge(e.Answered) && validAge(e.Failed) && validAge(e.Streak)
 	}
 	for _, e := range r.Services {
 		ok = ok && e.Others.valid() && e.Usual >= 0 && e.Usual <= maxUsual && inRange(e.Refused)
@@ -193,14 +191,15 @@
 		b.subject(e.ID, s.received)
 	}
 	return heardEntry{
-		counts: e.Counts, streak: before(s.at, e.Streak), openedAt: before(s.at, e.Opened), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
+		counts: e.Counts, streak: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
 	}
 }
 
-// before returns the time that is ago before at. Never is 0, and so is anything before the start.
+// before returns the time that is ago before at, or 0 for Never. What happened before the start of this VM
+// counts as at its start.
 func before(at, ago time.Duration) time.Duration {
 	if ago == Never {
 		return 0
 	}
-	return max(0, at-ago)
+	return max(1, at-ago)
 }
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -70,7 +70,6 @@
 		Cause     Cause
 		Witnesses []string // VMs for which it fails or is slow, in order
 		Counts    Counts   // of all VMs, bounded
-		Gone      bool     // it gives no sign of life to any VM
 	}
 
 	// subject is an upstream about which there is evidence.
@@ -86,8 +85,6 @@
 		ownFailure   time.Duration // last one of this VM
 		splitAt      time.Duration // last time that it answered some VMs and not others
 		clearedAt    time.Duration // end of the last trial: evidence before it is settled
-		goneSince    time.Duration // 0 while it is not known to be gone
-		gone         bool          // as told last
 	}
 )
 
@@ -129,16 +126,14 @@
 	m := b.newMerger(now)
 	weights := map[uint64]opinion{}
 	for id, s := range b.subjects {
-		e := m.merge(id)
-		weights[id] = b.judge(s, e, m)
-		s.judgeGone(e, b.expected(), now)
+		weights[id] = b.judge(s, m.merge(id), m)
 	}
 	b.limitEjections(weights)
 	for id, o := range weights {
 		if c, ok := b.publish(id, o); ok {
 			changes = append(changes, c)
 		}
-		if s := b.subjects[id]; o.settled() && s.weight == 1 && !s.gone && !s.splitLately(now) {
+		if s := b.subjects[id]; o.settled() && s.weight == 1 && !s.splitLately(now) {
 			delete(b.subjects, id)
 		}
 	}
@@ -164,12 +159,11 @@
 	const least = 0.1
 	s := b.subjects[id]
 	small := max(o.weight-s.weight, s.weight-o.weight) < least && o.weight != 0 && o.weight != 1
-	gone := s.goneSince > 0
-	if gone == s.gone && (small || o.weight == s.weight) {
+	if small || o.weight == s.weight {
 		return Change{}, false
 	}
-	s.weight, s.cause, s.gone = o.weight, o.cause, gone
-	return Change{Upstream: b.upstreams[id], Weight: o.weight, Cause: o.cause, Witnesses: o.witnesses, Counts: o.counts, Gone: gone}, true
+	s.weight, s.cause = o.weight, o.cause
+	return Change{Upstream: b.upstreams[id], Weight: o.weight, Cause: o.cause, Witnesses: o.witnesses, Counts: o.counts}, true
 }
 
 // limitEjections leaves at most half of the upstreams of a service ejected, those with the most
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -92,25 +92,29 @@
 	r.board.SetPressed(vm.engine.Pressed())
 	for _, c := range r.board.Evaluate(now) {
 		vm.engine.SetWeight(c.Upstream.ID, c.Weight)
-		vm.engine.SetGone(c.Upstream.ID, c.Gone)
 		vm.logWeight(c)
 	}
 	if now-r.servicesAt >= servicesEvery {
 		r.servicesAt = now
 		for _, service := range vm.engine.Services() {
 			vm.engine.SetUsual(service, r.board.Usual(service, now))
-			vm.updateAdmissionView(service, now)
 		}
 	}
+	if r.board.Pressed() {
+		vm.updateAdmissionViews(now)
+	}
 	if report, due := r.board.Compose(now); due {
 		vm.sendReport(report, now)
 	}
 }
 
-// updateAdmissionView tells admission the load of a service at all VMs, if each failure domain has reported.
-func (vm *VM) updateAdmissionView(service string, now time.Duration) {
-	if l := vm.reporter.board.Load(service, now); l.Whole {
-		vm.engine.SetAdmissionView(service, l.Requests, l.VMs, l.Oldest)
+// updateAdmissionViews tells admission the load of each service at all VMs, if enough of them have
+// reported.
+func (vm *VM) updateAdmissionViews(now time.Duration) {
+	for _, service := range vm.engine.Services() {
+		if l := vm.reporter.board.Load(service, now); l.Whole {
+			vm.engine.SetAdmissionView(service, l.Requests, l.VMs, l.Oldest)
+		}
 	}
 }
 
@@ -169,7 +173,7 @@
 	}
 	vm.log.WithFields(logrus.Fields{
 		"upstream": fmt.Sprintf("%x", c.Upstream.ID), "service": c.Upstream.Service, "weight": c.Weight, "cause": string(c.Cause),
-		"gone": c.Gone, "witnesses": c.Witnesses, "failures": c.Counts.Failures(), "answered": c.Counts.Answered, "slow": c.Counts.Slow,
+		"witnesses": c.Witnesses, "failures": c.Counts.Failures(), "answered": c.Counts.Answered, "slow": c.Counts.Slow,
 	}).Info(what)
 	vm.addEvent(what, c.Upstream.Service, fmt.Sprintf("%x", c.Upstream.ID), len(c.Witnesses))
 }
