--- a/internal/operator/sparstatus/evacuation_test.go
+++ b/internal/operator/sparstatus/evacuation_test.go
@@ -136,3 +136,14 @@
 		})
 	}
 }
+
+// TestServiceNamedLikeAnEvacuation guards against a status that ends with a panic: a team may be called
+// evacuation.
+func TestServiceNamedLikeAnEvacuation(t *testing.T) {
+	f := evacuating("a", 1, 30, 0, 0)
+	f.Services = []*sparcontrol.ServiceFacts{{Name: "evacuation/shop", Era: 1, Revision: 30}}
+	r := sparstatus.FromSurvey(&sparcontrol.SurveyReply{Answered: []*sparcontrol.FactsReply{f}})
+	if want := "ok service evacuation/shop revision 30 in force everywhere"; !strings.Contains(r.Text(), want) {
+		t.Errorf("status %q, want a line %q", r.Text(), want)
+	}
+}
--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -25,13 +25,14 @@
 const (
 	// interval is the least length of a window of observations.
 	interval = 100 * time.Millisecond
-	// maxInterval is the longest one. It has ended by then with too few responses.
+	// maxInterval ends a window that has too few responses.
 	maxInterval = time.Second
 	// minResponses is the number of responses that a window needs for a decision.
 	minResponses = 8
 	// maxResponses is the number of responses of a window that are kept.
 	maxResponses = 64
-	// manyResponses ends a window in which most responses tell nothing about the queue.
+	// manyResponses is the number of responses that ends a window even if few of them tell the
+	// queueing delay.
 	manyResponses = 3 * minResponses
 	// startWindows is the number of windows in a row that begin an overload.
 	startWindows = 3
@@ -58,9 +59,11 @@
 	// releaseGain replaces integralGain below half of the allowed delay, so that slots are
 	// not left free.
 	releaseGain = 2.0
-	// decay is the part of the refused share that is given up per second.
+	// decay is the rate, per second, at which the refused share decays, so that the shares of VMs
+	// do not drift apart.
 	decay = 1.2
-	// leastRefused is the share below which nothing is refused: one window of chance delays.
+	// leastRefused is the share below which nothing is refused: a single window of delays by chance
+	// stays below it.
 	leastRefused = 0.05
 	// quietTime is how long nothing is refused before an overload counts as over.
 	quietTime = time.Second
@@ -72,10 +75,10 @@
 		Refused  float64 // share of new flows that is refused
 		Pending  float64 // requests under way at all VMs
 		Slots    int
-		Queueing float64       // median queueing delay, in parts of the allowed one
+		Queueing float64       // median queueing delay, as a multiple of the allowed one
 		Response time.Duration // mean response time
 		Service  time.Duration // time that a request occupies a slot
-		Began    time.Duration // begin of the overload, or 0
+		Began    time.Duration // start of the overload, or 0
 	}
 
 	// Limiter is the admission state of one service. Create it with New.
@@ -85,11 +88,11 @@
 		ownVMs   int
 		ownSlots int
 
-		began    time.Duration // begin of the window
+		began    time.Duration // start of the window
 		requests int           // in the window
 		waited   time.Duration // sum over the responses of the window
 		answered int           // responses in the window
-		queued   []float64     // queueing delays in the window, in parts of the allowed ones
+		queued   []float64     // queueing delays in the window, as a multiple of the allowed ones
 
 		rate     float64 // requests per second
 		response float64 // mean response time in seconds
@@ -151,7 +154,7 @@
 		return
 	}
 	if l.began == 0 {
-		length = interval // the first window has no begin
+		length = interval // the first window has no start
 	}
 	l.windows++
 	l.average(length)
@@ -199,7 +202,7 @@
 	return l.refused
 }
 
-// median returns the median queueing delay of the window in parts of the allowed one, or 0
+// median returns the median queueing delay of the window as a multiple of the allowed one, or 0
 // while slots are free.
 func (l *Limiter) median(now time.Duration) float64 {
 	perSlot, taken := l.perSlot(now), fullLoad
--- a/internal/route/sparadmit/limiter_test.go
+++ b/internal/route/sparadmit/limiter_test.go
@@ -84,3 +84,12 @@
 		}
 	}
 }
+
+// TestTinyObjective guards against an objective of next to nothing, which once refused all flows: the
+// ratio of no delay to no allowed delay is no number.
+func TestTinyObjective(t *testing.T) {
+	times := sparadmit.NewTimes(2 * time.Nanosecond)
+	if got := times.Allowed(); got < time.Millisecond {
+		t.Errorf("allowed %v, want a millisecond at least", got)
+	}
+}
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -46,7 +46,7 @@
 }
 
 // pending returns the requests of this VM that are under way. In a long window, the load may have
-// risen since its begin.
+// risen since its start.
 func (l *Limiter) pending(now time.Duration) float64 {
 	mean := l.rate * max(0, l.response-l.path)
 	length := now - l.began
--- a/internal/route/sparadmit/shed.go
+++ b/internal/route/sparadmit/shed.go
@@ -66,7 +66,7 @@
 	c.owed += share
 	due := 1.0
 	if s.wasRefused(now, o.Client) {
-		due = share // in the place of the next first try
+		due = share // a retry is refused before the next first try would be
 	}
 	if c.owed < due {
 		return true
--- a/internal/route/sparadmit/times.go
+++ b/internal/route/sparadmit/times.go
@@ -12,7 +12,7 @@
 	baseResponses = 15
 	// leastGain is the weight of the last median in their mean, once there are enough of them.
 	leastGain = 0.1
-	// maxDeviation limits what one median changes. At the begin of an overload, the requests
+	// maxDeviation limits what one median changes. At the start of an overload, the requests
 	// under way are not known yet.
 	maxDeviation = 0.25
 	// objectiveShare is the part of the latency objective that a request may queue.
@@ -31,7 +31,7 @@
 	objective time.Duration // latency objective, 0 if there is none
 	base      time.Duration // response time without queueing, 0 if unknown
 	medians   int           // that the base has been taken from
-	began     time.Duration // begin of the window
+	began     time.Duration // start of the window
 	count     int           // responses in the window
 	window    [baseResponses]time.Duration
 }
--- a/internal/route/sparcookie/admit.go
+++ b/internal/route/sparcookie/admit.go
@@ -13,7 +13,7 @@
 	// admission is the state of admission control.
 	admission struct {
 		limiters map[string]*sparadmit.Limiter // by service, of those that have had flows
-		overload map[string]bool               // services for which the begin was reported
+		overload map[string]bool               // services for which the start was reported
 		refused  [sparadmit.MaxPriority + 1]uint64
 		counted  time.Duration // last count of slots
 	}
--- a/internal/route/sparcookie/crash_test.go
+++ b/internal/route/sparcookie/crash_test.go
@@ -97,11 +97,9 @@
 	f := newFixture(t)
 	f.engine.SetWeight(1, 0)
 	kept := f.upstreams
-	f.remove(1)
-	f.unusable = []uint64{1}
+	f.upstreams, f.unusable = kept[1:], []uint64{1}
 	f.apply()
-	f.upstreams, f.unusable = append(kept[:0:0], kept...), nil
-	f.upstreams[0] = newUpstream(1, "north")
+	f.upstreams, f.unusable = kept, nil
 	f.apply()
 	if got := f.openMany(30, nil); got[1] == 0 {
 		t.Errorf("flows %v, want some at upstream 1", got)
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -81,7 +81,7 @@
 	return e.hedges.stats
 }
 
-// suspendHedges sends no hedges for a while. It is for signs that slots are short.
+// suspendHedges stops hedges for a while, because slots are short or flows are refused.
 func (e *Engine) suspendHedges() {
 	if e.hedges != nil {
 		e.hedges.budget.Suspend(e.now)
--- a/internal/route/sparcookie/warm_test.go
+++ b/internal/route/sparcookie/warm_test.go
@@ -228,3 +228,26 @@
 		t.Errorf("events %v, want one that says yes and one that says no", got)
 	}
 }
+
+// TestStaleSettingsKeepUpstreamsInUse covers an upstream that answers again after an ejection while the
+// platform is away: it may have restarted, and is left to its holders for a while, but not for as long
+// as the settings are stale.
+func TestStaleSettingsKeepUpstreamsInUse(t *testing.T) {
+	f := newWarmFixture(t, 4, sparconfig.WarmLimit{Overage: 1.5, Slack: 5})
+	f.learn()
+	f.vm.cutUntil = f.now + time.Hour
+	answer := func(port uint32, v sparcookie.Verdict) {
+		s := sparcookie.Segment{From: siteClient(port), To: bookingAddr, Seq: 101, Ack: 500, Cookie: v.Cookie}
+		f.packet(f.vm, s, func(sparcookie.Verdict) {})
+	}
+	first := f.open()
+	port := f.port
+	f.wait(200 * time.Millisecond)
+	second := f.open() // the SYN before it is overdue, which ejects its upstream
+	answer(f.port, second)
+	answer(port, first)
+	f.wait(15 * time.Second)
+	if got := f.openMany(40); got[1] == 0 || got[2] == 0 {
+		t.Errorf("openings %v, want some at both upstreams; upstream %d has come back", got, first.ID)
+	}
+}
--- a/internal/route/sparevidence/report_test.go
+++ b/internal/route/sparevidence/report_test.go
@@ -208,3 +208,46 @@
 		t.Errorf("usual response time %v, want the median of 30 ms", got)
 	}
 }
+
+// TestOtherDomainsAreNoWitnesses covers VMs of another failure domain that report an upstream: the
+// links between the domains may be at fault.
+func TestOtherDomainsAreNoWitnesses(t *testing.T) {
+	b := newBoard(1, 10)
+	list := []sparevidence.VM{{Name: vmName(0), Domain: "north"}}
+	for n := 1; n <= 5; n++ {
+		list = append(list, sparevidence.VM{Name: vmName(n), Domain: "south"})
+	}
+	b.SetVMs(list)
+	now := time.Minute
+	for range 40 {
+		for n := 1; n <= 5; n++ {
+			mustReceive(t, b, now, against(n, now))
+		}
+		now += 100 * time.Millisecond
+		if changes := b.Evaluate(now); len(changes) > 0 {
+			t.Fatalf("%+v", changes)
+		}
+	}
+}
+
+// TestOldReportsOfARestartedUpstream covers an upstream that starts anew under its ID while reports of
+// its former start still count.
+func TestOldReportsOfARestartedUpstream(t *testing.T) {
+	b := newBoard(6, 10)
+	now := time.Minute
+	for n := 1; n <= 5; n++ {
+		mustReceive(t, b, now, against(n, now))
+	}
+	var ups []sparevidence.Upstream
+	for id := range uint64(10) {
+		ups = append(ups, sparevidence.Upstream{ID: id + 1, Born: 8, Service: service})
+	}
+	b.SetUpstreams(ups)
+	for range 40 {
+		b.Observe(now, sparevidence.Observations{Upstreams: []sparevidence.Observation{{ID: 1, Counts: sparevidence.Counts{Unanswered: 1}}}})
+		now += 100 * time.Millisecond
+		if changes := b.Evaluate(now); len(changes) > 0 {
+			t.Fatalf("%+v", changes)
+		}
+	}
+}
