--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -165,8 +165,13 @@
 			slots += float64(u.Slots) * u.weight
 		}
 	}
-	busy := requests * float64(serviceTime) / float64(rateSpan) * float64(max(e.domainVMs, 1))
-	return busy >= spillThreshold*slots
+	return busySlots(requests, serviceTime, e.domainVMs) >= spillThreshold*slots
+}
+
+// busySlots returns the slots at work if each of the VMs forwards as many requests, which is a
+// count over rateSpan.
+func busySlots(requests float64, serviceTime time.Duration, vms int) float64 {
+	return requests * float64(serviceTime) / float64(rateSpan) * float64(max(vms, 1))
 }
 
 // score returns the load of u per slot. A fraction below 1 that depends on the flow breaks
--- a/internal/route/sparcookie/second.go
+++ b/internal/route/sparcookie/second.go
@@ -32,7 +32,7 @@
 // nearlyFull reports whether u may be short of slots. It assumes that the other VMs of this failure
 // domain forward as many requests to u as this one.
 func (e *Engine) nearlyFull(u *upstream) bool {
-	busy := u.rate.value(e.now, rateSpan) * float64(e.serviceTime(u.Service)) / float64(rateSpan) * float64(max(e.domainVMs, 1))
+	busy := busySlots(u.rate.value(e.now, rateSpan), e.serviceTime(u.Service), e.domainVMs)
 	return busy >= hedgeUtilization*float64(u.Slots) || u.abandoned.value(e.now, abandonedSpan) >= 1
 }
 
@@ -50,7 +50,7 @@
 			slots += u.Slots
 		}
 	}
-	busy := requests * float64(e.serviceTime(service)) / float64(rateSpan) * float64(len(e.relays)+1)
+	busy := busySlots(requests, e.serviceTime(service), len(e.relays)+1)
 	return slots > 0 && busy >= hedgeUtilization*float64(slots)
 }
 
--- a/internal/settings/sparconfig/evacuation.go
+++ b/internal/settings/sparconfig/evacuation.go
@@ -10,8 +10,13 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 )
 
-// EvacuationPrefix is the prefix of the platform keys of evacuations. The failure domain follows.
-const EvacuationPrefix = "evacuation/"
+const (
+	// EvacuationPrefix is the prefix of the platform keys of evacuations. The failure domain follows.
+	EvacuationPrefix = "evacuation/"
+
+	// maxText is the number of bytes of foreign text in a problem.
+	maxText = 300
+)
 
 type (
 	// Evacuation is the request that the upstreams of a failure domain take no new flows.
@@ -69,7 +74,7 @@
 }
 
 func (s *Snapshot) addEvacuationProblem(e sparregistry.Entry, err error) {
-	s.Problems = append(s.Problems, Problem{Service: shorten(e.Key), At: e.Position(), Cause: shorten(err.Error())})
+	s.Problems = append(s.Problems, Problem{Service: Shorten(e.Key), At: e.Position(), Cause: Shorten(err.Error())})
 }
 
 // Evacuates reports whether the upstreams of a failure domain take no new flows.
@@ -96,10 +101,8 @@
 	return slices.EqualFunc(s.Upstreams, other.Upstreams, func(a, b Upstream) bool { return a.Evacuated == b.Evacuated })
 }
 
-// maxText is the number of bytes of foreign text in a problem.
-const maxText = 300
-
-func shorten(text string) string {
+// Shorten returns text of other writers cut to a length that logs and status lines can hold.
+func Shorten(text string) string {
 	if len(text) <= maxText {
 		return text
 	}
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -35,11 +35,7 @@
 	VMPrefix = "vm/"
 	// EvacuationPrefix is the prefix of the registry keys of evacuations. The failure domain
 	// follows.
-	EvacuationPrefix = "evacuation/"
-
-	// maxText is the number of bytes of the key and of the cause of a problem, which may repeat
-	// the entry.
-	maxText = 300
+	EvacuationPrefix = sparconfig.EvacuationPrefix
 
 	// DefaultIdle is the idle timeout of flows if the routing sets none.
 	DefaultIdle = 15 * time.Second
@@ -207,15 +203,7 @@
 }
 
 func (r *Roster) addProblem(key string, at sparregistry.Position, cause string) {
-	r.Problems = append(r.Problems, Problem{Key: shorten(key), At: at, Cause: shorten(cause)})
-}
-
-// shorten returns text of other writers cut to a length that logs and status lines can hold.
-func shorten(text string) string {
-	if len(text) <= maxText {
-		return text
-	}
-	return strings.ToValidUTF8(text[:maxText], "") + "..."
+	r.Problems = append(r.Problems, Problem{Key: sparconfig.Shorten(key), At: at, Cause: sparconfig.Shorten(cause)})
 }
 
 // decodeEntry decodes an entry. A panic of the decoder becomes an error of this entry: all VMs
