--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -236,5 +236,5 @@
 	if turnA != turnB {
 		return turnA < turnB
 	}
-	return sparrank.Weight(e.slot, a.ID) > sparrank.Weight(e.slot, b.ID)
+	return sparrank.Weight(e.probeSeed, a.ID) > sparrank.Weight(e.probeSeed, b.ID)
 }
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -62,7 +62,7 @@
 		observed  []*upstream // with counts for the next Observations
 		pressed   bool
 		loadAt    time.Duration // last count of the requests under way
-		slot      int           // of this VM, in the ranking of upstreams to probe
+		probeSeed int           // of this VM, in the ranking of upstreams to probe
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -113,7 +113,7 @@
 		domain          *domainState
 		service         *serviceState
 		weight          float64             // by the evidence of several VMs, 0 if that ejects it
-		pending         int                 // requests under way of flows on record
+		underWay        int                 // requests under way of flows on record
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
 		ejectedAt       time.Duration       // when its weight became 0 last
@@ -126,7 +126,7 @@
 // of at most maxFlows flows.
 func New(name, domain string, maxFlows int) *Engine {
 	return &Engine{
-		name: name, domain: domain, maxFlows: maxFlows, slot: int(uint32(sparrank.Hash(name))),
+		name: name, domain: domain, maxFlows: maxFlows, probeSeed: int(uint32(sparrank.Hash(name))),
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
 		domains: map[string]*domainState{}, services: map[string]*serviceState{},
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -103,8 +103,8 @@
 		slots := 0
 		for _, u := range p.all {
 			slots += u.Slots
-			if u.pending > 0 {
-				s.load[u.Domain] += u.pending
+			if u.underWay > 0 {
+				s.load[u.Domain] += u.underWay
 			}
 		}
 		underWay := float64(s.busy) / float64(elapsed) * float64(len(e.relays)+1)
@@ -189,13 +189,13 @@
 func (e *Engine) beginPending(f *flow) {
 	f.overdue = false
 	if !f.closed {
-		f.upstream.pending++
+		f.upstream.underWay++
 	}
 }
 
 // endPending ends the pending request of f, if it counts as under way.
 func (e *Engine) endPending(f *flow) {
 	if f.requestedAt > 0 && !f.closed {
-		f.upstream.pending--
+		f.upstream.underWay--
 	}
 }
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -28,10 +28,10 @@
 	// record is what this VM has seen of one upstream.
 	record struct {
 		tally
-		openedAt   time.Duration // last opening that was answered
-		answeredAt time.Duration // last request that was answered
-		failedAt   time.Duration // last failure
-		streak     time.Duration // first failure since the last answered request, or 0
+		openedAt     time.Duration // last opening that was answered
+		answeredAt   time.Duration // last request that was answered
+		failedAt     time.Duration // last failure
+		failingSince time.Duration // first failure since the last answered request, or 0
 	}
 
 	// serviceRecord is what this VM has seen of one service.
@@ -129,14 +129,14 @@
 		r.openedAt = now
 	}
 	if c.Answered > 0 {
-		r.answeredAt, r.streak = now, 0
+		r.answeredAt, r.failingSince = now, 0
 		b.noteAnswers(u.ID, c.Answered)
-		b.urgent = b.urgent || b.doubted(u.ID) // others may be about to eject it
+		b.urgent = b.urgent || b.answersWanted(u.ID) // others may be about to eject it
 	}
 	if c.Failures() > 0 {
 		r.failedAt = now
-		if r.streak == 0 && c.Answered == 0 {
-			r.streak = now
+		if r.failingSince == 0 && c.Answered == 0 {
+			r.failingSince = now
 		}
 		b.subject(u.ID, now).ownFailure = now
 	}
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -57,7 +57,7 @@
 	r := b.own[id]
 	return Entry{
 		ID: id, Born: uint32(b.upstreams[id].Born), Counts: r.value(now),
-		Answered: ago(r.answeredAt, now), Failed: ago(r.failedAt, now), Streak: ago(r.streak, now),
+		Answered: ago(r.answeredAt, now), Failed: ago(r.failedAt, now), Streak: ago(r.failingSince, now),
 	}
 }
 
@@ -100,7 +100,7 @@
 // news reports whether there is something new about an upstream that others should know at once.
 func (b *Board) news(id uint64) bool {
 	r, since := b.own[id], b.named[id]
-	return r.failedAt > since || r.answeredAt > since && b.doubted(id)
+	return r.failedAt > since || r.answeredAt > since && b.answersWanted(id)
 }
 
 // worthNaming reports whether an upstream did badly here, or has been seen here since others
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -25,12 +25,12 @@
 		s.splitAt = m.now
 	}
 	if peers := m.peers(b.upstreams[e.id].Service); peers.FailureRatio() >= overloadRatio && !e.unanimous {
-		s.ejectedUntil, s.trialSince, s.hold = 0, 0, 0
+		s.ejectedUntil, s.trialSince, s.ejectionTime = 0, 0, 0
 		return b.ease(e, m)
 	}
 	switch {
 	case s.ejectedUntil > 0:
-		answered := e.answeredSince(s.ejectedUntil-s.hold) >= trialAnswers
+		answered := e.answeredSince(s.ejectedUntil-s.ejectionTime) >= trialAnswers
 		if answered || e.answersHere || m.now >= s.ejectedUntil {
 			s.ejectedUntil, s.trialSince, s.answers = 0, m.now, 0
 		}
@@ -61,7 +61,7 @@
 	case own, !e.split && e.failedSince(s.trialSince) >= 2 && b.mayEject(s, e, m):
 		s.eject(m.now)
 	case s.answers+e.answeredSince(s.trialSince) >= trialAnswers, m.now-s.trialSince >= trialTime:
-		s.trialSince, s.hold = 0, 0
+		s.trialSince, s.ejectionTime = 0, 0
 		b.clear(s, e.id, m.now)
 	}
 }
@@ -70,7 +70,7 @@
 // answered some VMs and not others lately: this VM may be one of those that reach it.
 func (b *Board) mayEject(s *subject, e merged, m *merger) bool {
 	r := b.own[e.id]
-	return !s.splitLately(m.now) || r != nil && r.streak > 0
+	return !s.splitLately(m.now) || r != nil && r.failingSince > 0
 }
 
 // splitLately reports whether the upstream answered some VMs and not others lately.
@@ -90,15 +90,15 @@
 
 // eject begins an ejection. One that follows a trial lasts longer than the one before.
 func (s *subject) eject(now time.Duration) {
-	s.hold = min(max(2*s.hold, baseEjection), maxEjection)
-	s.ejectedUntil, s.trialSince, s.answers = now+s.hold, 0, 0
+	s.ejectionTime = min(max(2*s.ejectionTime, baseEjection), maxEjection)
+	s.ejectedUntil, s.trialSince, s.answers = now+s.ejectionTime, 0, 0
 }
 
 // clear ends a subject whose upstream has recovered: what was seen before counts no more.
 func (b *Board) clear(s *subject, id uint64, now time.Duration) {
 	s.clearedAt = now
 	if r := b.own[id]; r != nil {
-		r.tally, r.streak = tally{counts: r.value(now).withoutFailures(), at: now}, 0
+		r.tally, r.failingSince = tally{counts: r.value(now).withoutFailures(), at: now}, 0
 	}
 }
 
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -16,21 +16,21 @@
 		rest    map[string]Counts // of peers, by service
 	}
 
-	// view is what one VM has seen of an upstream.
-	view struct {
-		name       string
-		counts     Counts
-		streak     time.Duration // first failure since its last answer, or 0
-		answeredAt time.Duration
-		failedAt   time.Duration
-		own        bool
+	// sighting is what one VM has seen of an upstream.
+	sighting struct {
+		name         string
+		counts       Counts
+		failingSince time.Duration // first failure since its last answer, or 0
+		answeredAt   time.Duration
+		failedAt     time.Duration
+		own          bool
 	}
 
 	// merged is the evidence about one upstream.
 	merged struct {
 		id          uint64
 		counts      Counts
-		views       []view
+		sightings   []sighting
 		inARow      float64       // failures since the last answer to each VM
 		onset       time.Duration // since when two VMs have seen nothing but failures, or 0
 		failing     int           // VMs that have seen failures
@@ -89,24 +89,24 @@
 // merge returns the evidence about an upstream.
 func (m *merger) merge(id uint64) (e merged) {
 	e = merged{id: id}
-	e.views = m.views(id)
-	e.onset = onset(e.views)
+	e.sightings = m.sightings(id)
+	e.onset = onset(e.sightings)
 	agreeing := 0
-	for _, v := range e.views {
+	for _, v := range e.sightings {
 		e.add(v)
-		if v.streak > 0 {
+		if v.failingSince > 0 {
 			agreeing++
 		}
 	}
 	others := m.board.expected()
-	e.unanimous = others > 0 && agreeing == len(e.views) && agreeing >= others
+	e.unanimous = others > 0 && agreeing == len(e.sightings) && agreeing >= others
 	m.noteOwnAnswers(&e)
 	return e
 }
 
 // failedSince returns how many other VMs have seen failures since a time.
 func (e merged) failedSince(since time.Duration) (n int) {
-	for _, v := range e.views {
+	for _, v := range e.sightings {
 		if !v.own && v.failedAt > since {
 			n++
 		}
@@ -116,7 +116,7 @@
 
 // answeredSince returns how many other VMs have had answers since a time.
 func (e merged) answeredSince(since time.Duration) (n float64) {
-	for _, v := range e.views {
+	for _, v := range e.sightings {
 		if !v.own && v.answeredAt > since {
 			n++
 		}
@@ -124,27 +124,27 @@
 	return n
 }
 
-// views returns what each VM that counts has seen of an upstream.
-func (m *merger) views(id uint64) (views []view) {
+// sightings returns what each VM that counts has seen of an upstream.
+func (m *merger) sightings(id uint64) (sightings []sighting) {
 	cleared := m.board.subjects[id].clearedAt
 	for i, s := range m.sources {
 		h, ok := s.entries[id]
 		if settled := h.failedAt > 0 && h.failedAt <= cleared; ok && !settled {
-			views = append(views, view{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), streak: h.streak, answeredAt: h.answeredAt, failedAt: h.failedAt})
+			sightings = append(sightings, sighting{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), failingSince: h.failingSince, answeredAt: h.answeredAt, failedAt: h.failedAt})
 		}
 	}
 	if r := m.board.own[id]; r != nil && !m.sick {
-		views = append(views, view{name: m.board.self, counts: r.value(m.now), streak: r.streak, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
+		sightings = append(sightings, sighting{name: m.board.self, counts: r.value(m.now), failingSince: r.failingSince, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
 	}
-	return views
+	return sightings
 }
 
 // onset returns the time since which two VMs have seen nothing but failures, or 0.
-func onset(views []view) time.Duration {
+func onset(sightings []sighting) time.Duration {
 	var streaks []time.Duration
-	for _, v := range views {
-		if v.streak > 0 {
-			streaks = append(streaks, v.streak)
+	for _, v := range sightings {
+		if v.failingSince > 0 {
+			streaks = append(streaks, v.failingSince)
 		}
 	}
 	if len(streaks) < 2 {
@@ -155,12 +155,12 @@
 }
 
 // add adds what one VM has seen.
-func (e *merged) add(v view) {
+func (e *merged) add(v sighting) {
 	c := v.counts.bounded()
 	e.counts = e.counts.plus(c)
 	failing, slow := c.Failures() >= leastCount, c.Slow >= leastCount
 	switch {
-	case v.streak > 0:
+	case v.failingSince > 0:
 		e.inARow += max(1, c.Failures())
 	case e.onset > 0 && v.answeredAt > e.onset:
 		e.split = true
@@ -180,7 +180,7 @@
 // upstream has not failed, but they don't reach it.
 func (m *merger) noteOwnAnswers(e *merged) {
 	r := m.board.own[e.id]
-	if r == nil || e.onset == 0 || r.streak > 0 {
+	if r == nil || e.onset == 0 || r.failingSince > 0 {
 		return
 	}
 	good := r.answeredAt
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -84,10 +84,10 @@
 
 	// heardEntry is an entry by the clock of this VM. Its times are 0 for never.
 	heardEntry struct {
-		counts     Counts
-		failedAt   time.Duration
-		answeredAt time.Duration
-		streak     time.Duration // first failure since the last answer
+		counts       Counts
+		failedAt     time.Duration
+		answeredAt   time.Duration
+		failingSince time.Duration // first failure since the last answer
 	}
 )
 
@@ -191,7 +191,7 @@
 		b.subject(e.ID, s.received)
 	}
 	return heardEntry{
-		counts: e.Counts, streak: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
+		counts: e.Counts, failingSince: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
 	}
 }
 
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -79,7 +79,7 @@
 		cause        Cause
 		doubted      bool          // two VMs see nothing but failures
 		ejectedUntil time.Duration // 0 unless ejected
-		hold         time.Duration
+		ejectionTime time.Duration
 		trialSince   time.Duration // 0 unless on trial
 		answers      float64       // of this VM, since the last change of state
 		ownFailure   time.Duration // last one of this VM
@@ -98,8 +98,9 @@
 	return s
 }
 
-// doubted reports whether an upstream is about to be ejected, or was lately.
-func (b *Board) doubted(id uint64) bool {
+// answersWanted reports whether others need answers of an upstream at once: it is about to be
+// ejected, is ejected or on trial.
+func (b *Board) answersWanted(id uint64) bool {
 	s := b.subjects[id]
 	return s != nil && (s.doubted || s.ejectedUntil > 0 || s.trialSince > 0)
 }
