--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -123,7 +123,7 @@
 	maxGrace     = 3600    // seconds
 	minBeat      = 100     // milliseconds
 	maxBeat      = 600_000 // milliseconds
-	maxOverage   = 100
+	maxOverage   = 1_000_000
 	maxSlack     = 1_000_000 // requests
 	maxHedge     = 0.1       // of openings; more would load upstreams that are short of slots
 	maxCores     = 4096
--- a/internal/settings/sparconfig/vmcheck.go
+++ b/internal/settings/sparconfig/vmcheck.go
@@ -91,7 +91,7 @@
 		unit        string
 	}{
 		{"overage", f.Overage, maxOverage, "times"}, {"slack", f.Slack, maxSlack, "requests"},
-		{"hedge", f.Hedge, maxHedge, "of openings"}, {"cpu", f.CPU, 1, "of a core"},
+		{"hedge", f.Hedge, maxHedge, "of openings"}, {"cpu", f.CPU, maxCores, "of a core"},
 		{"cores", f.Cores, maxCores, "cores"}, {"link", f.Link, maxLink, "megabits per second"},
 	} {
 		if err := field.value.check(field.name, 0, field.most, field.unit); err != nil {
