--- a/internal/peer/sparcontrol/evidence_test.go
+++ b/internal/peer/sparcontrol/evidence_test.go
@@ -15,8 +15,8 @@
 const reportBudget = 4096 / sparevidence.MaxPeers
 
 func report(upstreams int) sparevidence.Report {
-	r := sparevidence.Report{From: "edge-casa-a-17", Run: 5, Sent: 6 * time.Second, Seen: 7, Bad: 1, Services: []sparevidence.ServiceEntry{
-		{Service: "auction-floor", Usual: 17 * time.Millisecond, Others: sparevidence.Counts{Opened: 12, Answered: 40.25, Slow: 1.5}},
+	r := sparevidence.Report{From: "edge-north-a-17", Run: 5, Sent: 6 * time.Second, Seen: 7, Bad: 1, Services: []sparevidence.ServiceEntry{
+		{Service: "booking", Usual: 17 * time.Millisecond, Others: sparevidence.Counts{Opened: 12, Answered: 40.25, Slow: 1.5}},
 	}}
 	for n := range upstreams {
 		r.Upstreams = append(r.Upstreams, sparevidence.Entry{
@@ -82,7 +82,7 @@
 			return
 		}
 		b := sparevidence.New("vm-1", 1)
-		b.SetVMs([]sparevidence.VM{{Name: "vm-1"}, {Name: "edge-casa-a-17"}, {Name: e.Report.From}})
+		b.SetVMs([]sparevidence.VM{{Name: "vm-1"}, {Name: "edge-north-a-17"}, {Name: e.Report.From}})
 		id := uint64(1)
 		if len(e.Report.Upstreams) > 0 {
 			id = e.Report.Upstreams[0].ID
@@ -95,7 +95,7 @@
 				t.Errorf("weight %v", c.Weight)
 			}
 		}
-		b.Load("auction-floor", time.Hour)
-		b.Usual("auction-floor", time.Hour)
+		b.Load("booking", time.Hour)
+		b.Usual("booking", time.Hour)
 	})
 }
--- a/internal/vm/sparentry/warm_test.go
+++ b/internal/vm/sparentry/warm_test.go
@@ -1,7 +1,6 @@
 package sparentry_test
 
 import (
-	"bytes"
 	"encoding/binary"
 	"io"
 	"net/http"
@@ -19,10 +18,12 @@
 func TestWarmLimit(t *testing.T) {
 	s := newSite(t)
 	s.edit = func(f *sparconfig.File) { f.Force, f.Overage, f.Slack = 800, 1.5, 3 }
-	s.fake.Put(sparfake.RoutingKey, bytes.Replace(sparfake.Routing(4, []sparfake.Route{{At: serviceAddr, Service: "booking"}}),
-		[]byte(`"services":[]`), []byte(`"services":[{"name":"booking","warmup_per_s":2}]`), 1))
+	s.fake.Put(sparfake.RoutingKey, sparfake.Document{
+		Version: 4, Routes: []sparfake.Route{{At: serviceAddr, Service: "booking"}},
+		Services: []sparfake.Service{{Name: "booking", WarmRate: 2}},
+	}.Text())
 	key, entry := sparfake.Entry(0x7f3a, "booking", "north", s.upstream.LocalAddr().String(), false, time.Now())
-	s.fake.Put(key, bytes.Replace(entry, []byte(`"warmup_left_ms":0`), []byte(`"warmup_left_ms":60000`), 1))
+	s.fake.Put(key, sparfake.Warming(entry, time.Minute))
 	v := s.start("vm-1")
 	eventually(t, "ready", v.ready)
 	s.sendSYNs(v, 1000, 5)
