--- a/internal/proof/sparsoak/unwell.go
+++ b/internal/proof/sparsoak/unwell.go
@@ -61,10 +61,10 @@
 }
 
 // domainOf returns the upstreams in a failure domain.
-func (t *testbed) domainOf(zone string) (servers []*sparfake.Server) {
+func (t *testbed) domainOf(domain string) (servers []*sparfake.Server) {
 	for _, service := range []string{booking, receipts} {
 		for _, s := range t.live(service) {
-			if s.Zone == zone {
+			if s.Zone == domain {
 				servers = append(servers, s)
 			}
 		}
