sparport: free ports for tests and stand-ins in one place

Tests of sparentry drew each port at random from 12,000 and closed it again, so a VM could get one port twice (three ports each), or that of a VM of another subtest that had not opened it yet: with some 300 VMs a run, one in ten runs. Ruled out: connections, which systems open above 32767.

Now one package gives out ports, one after the other from a random start, none twice.

--- a/internal/proof/sparsoak/testbed.go
+++ b/internal/proof/sparsoak/testbed.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/stand/sparport"
 	"github.com/oleanderspar/oleanderspar/platform"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
@@ -114,12 +115,11 @@
 func freePorts() (data, control uint16, err error) {
 	var ports [2]uint16
 	for i := range ports {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		at, err := sparport.Free()
 		if err != nil {
 			return 0, 0, errors.Trace(err)
 		}
-		defer func() { _ = l.Close() }()
-		ports[i] = netip.MustParseAddrPort(l.Addr().String()).Port()
+		ports[i] = netip.MustParseAddrPort(at).Port()
 	}
 	return ports[0], ports[1], nil
 }
--- a/internal/stand/sparsite/site.go
+++ b/internal/stand/sparsite/site.go
@@ -23,6 +23,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/platform/sparkv"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/stand/sparfabric"
+	"github.com/oleanderspar/oleanderspar/internal/stand/sparport"
 	"github.com/oleanderspar/oleanderspar/internal/stand/sparstore"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparserver"
 )
@@ -180,22 +181,13 @@
 	s.Store.Put(sparkv.Root+sparconfig.ServiceKey(team, service), d.Text())
 }
 
-// FreeAddress returns a loopback address whose port is free for both UDP and TCP.
+// FreeAddress returns a loopback address whose port is free for both UDP and TCP. It panics if there is none.
 func FreeAddress() string {
-	for range 100 {
-		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			continue
-		}
-		address := conn.LocalAddr().String()
-		web, err := net.Listen("tcp4", address)
-		_ = conn.Close()
-		if err == nil {
-			_ = web.Close()
-			return address
-		}
+	address, err := sparport.Free()
+	if err != nil {
+		panic(err)
 	}
-	panic("no free loopback port")
+	return address
 }
 
 // Endpoint returns the endpoint a.b.c.d:port. It panics if s is invalid.
--- a/internal/vm/sparentry/site_test.go
+++ b/internal/vm/sparentry/site_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,17 +18,13 @@
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/log/sparlog"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/stand/sparport"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparentry"
 	"github.com/oleanderspar/oleanderspar/platform"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
 
-const (
-	timeout   = 5 * time.Second
-	addrTries = 20
-	firstPort = 20_000
-	ports     = 12_000
-)
+const timeout = 5 * time.Second
 
 var serviceAddr = sparflow.MakeEndpoint(0xc6120001, 8080) // 198.18.0.1:8080
 
@@ -121,25 +115,14 @@
 	s.fake.Put(sparfake.RoutingKey, sparfake.Routing(version, []sparfake.Route{{At: serviceAddr, Service: "booking"}}))
 }
 
-// addr returns a loopback address with a port that is free for TCP and for UDP. It is below those that
-// systems give to connections, so that none takes it before the test does.
+// addr returns a loopback address whose port is free for TCP and for UDP.
 func addr(t *testing.T) string {
-	for range addrTries {
-		at := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		l, err := net.Listen("tcp4", at)
-		if err != nil {
-			continue
-		}
-		conn, err := net.ListenPacket("udp4", at)
-		_ = l.Close()
-		if err != nil {
-			continue // the port is taken for UDP
-		}
-		_ = conn.Close()
-		return at
+	t.Helper()
+	at, err := sparport.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("no port is free for TCP and UDP in %d tries", addrTries)
-	return ""
+	return at
 }
 
 // start runs a VM with a free control address until the test ends.
--- a/internal/vm/sparlaunch/launch_test.go
+++ b/internal/vm/sparlaunch/launch_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/internal/stand/sparport"
 	"github.com/oleanderspar/oleanderspar/internal/vm/sparlaunch"
 	"github.com/oleanderspar/oleanderspar/platform/sparfake"
 )
@@ -45,12 +45,12 @@
 }
 
 func addr(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	t.Helper()
+	at, err := sparport.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return at
 }
 
 // TestSIGHUPWhileLeaving sends SIGHUP while the VM serves and again after SIGTERM. SIGHUP
