--- a/internal/settings/sparconfig/service.go
+++ b/internal/settings/sparconfig/service.go
@@ -19,14 +19,9 @@
 package sparconfig
 
 import (
-	"bytes"
-	"encoding/json"
-	"regexp"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/tailscale/hujson"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
@@ -38,8 +33,6 @@
 	// Drain is the state of an upstream that keeps its flows and takes no new ones.
 	Drain = "drain"
 
-	// MaxWrites is the number of latest writes whose IDs a document keeps.
-	MaxWrites = 32
 	// DefaultSpread is the fraction by which an upstream may exceed the mean load.
 	DefaultSpread = 0.05
 	// DefaultDrain is how long a draining upstream keeps its flows, in seconds.
@@ -53,41 +46,9 @@
 	minSpread    = 0.001
 	maxSeconds   = 7 * 24 * 3600
 	maxUpstreams = 1024
-
-	// TeamPrefix is the prefix of the platform keys of service documents.
-	TeamPrefix = "team/"
-	// ClaimPrefix is the prefix of the platform keys of claims on addresses.
-	ClaimPrefix = "claim/"
-
-	servicesPart = "services"
-	vmPrefix     = "vm/"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-
 type (
-	// Document is the settings of one service as written by its team.
-	Document struct {
-		Address   string   `json:"address"`
-		Proto     string   `json:"proto"`
-		Upstreams []Member `json:"upstreams"`
-		Spread    float64  `json:"spread,omitempty"`
-		Drain     int64    `json:"drain,omitempty"`
-		Silent    int64    `json:"silent,omitempty"`
-		Idle      int64    `json:"idle,omitempty"`
-		Warm      int64    `json:"warm,omitempty"`
-		Removed   bool     `json:"removed,omitempty"`
-		Writes    []string `json:"writes,omitempty"`
-	}
-
-	// Member is one upstream of a document.
-	Member struct {
-		At     string `json:"at"`
-		Domain string `json:"domain,omitempty"` // failure domain
-		State  string `json:"state,omitempty"`
-		Until  int64  `json:"until,omitempty"` // end of the drain in Unix seconds
-	}
-
 	// Service is the settings of one service, from a valid document.
 	Service struct {
 		Name      string                // team/service
@@ -112,55 +73,6 @@
 	}
 )
 
-// ServiceKey returns the platform key of a service document.
-func ServiceKey(team, service string) string {
-	return TeamPrefix + team + "/" + servicesPart + "/" + service
-}
-
-// ServiceName returns the "team/service" of the platform key of a service document.
-func ServiceName(key string) (name string, ok bool) {
-	parts := strings.Split(key, "/")
-	if len(parts) != 4 || parts[0]+"/" != TeamPrefix || parts[2] != servicesPart {
-		return "", false
-	}
-	if CheckName(parts[1]) != nil || CheckName(parts[3]) != nil {
-		return "", false
-	}
-	return parts[1] + "/" + parts[3], true
-}
-
-// ClaimKey returns the platform key of the claim on an address.
-func ClaimKey(proto sparflow.Proto, at sparflow.Endpoint) string {
-	return ClaimPrefix + proto.String() + "/" + at.String()
-}
-
-// CheckName returns an error unless name is valid for a team, service, VM or failure
-// domain.
-func CheckName(name string) error {
-	if !namePattern.MatchString(name) {
-		return errors.Errorf("name %q: expected 1 to 63 of a-z, 0-9 and -, not beginning with -", name)
-	}
-	return nil
-}
-
-// ParseDocument parses and checks a service document. Errors name the line of a syntax
-// error, or the path of a field, and what was expected.
-func ParseDocument(text []byte) (d Document, err error) {
-	if err := decode(text, &d); err != nil {
-		return Document{}, err
-	}
-	if _, err := d.Service("check/check", sparregistry.Position{}); err != nil {
-		return Document{}, err
-	}
-	return d, nil
-}
-
-// ReadDocument parses a stored document without checking its rules.
-func ReadDocument(text []byte) (d Document, err error) {
-	err = decode(text, &d)
-	return d, err
-}
-
 // Service checks d and returns the service that it describes.
 func (d Document) Service(name string, at sparregistry.Position) (s Service, err error) {
 	s = Service{Name: name, At: at}
@@ -194,69 +106,6 @@
 	return s, nil
 }
 
-// Claims returns the platform keys of the claims on all addresses that d uses.
-func (d Document) Claims() []string {
-	proto, err := sparflow.ParseProto(d.Proto)
-	if err != nil {
-		return nil
-	}
-	var keys []string
-	addresses := []string{d.Address}
-	for _, m := range d.Upstreams {
-		addresses = append(addresses, m.At)
-	}
-	for _, a := range addresses {
-		if e, err := sparflow.ParseEndpoint(a); err == nil {
-			keys = append(keys, ClaimKey(proto, e))
-		}
-	}
-	return keys
-}
-
-// WithWrite returns d with the ID of one more write. Beyond MaxWrites it drops the oldest.
-func (d Document) WithWrite(id string) Document {
-	writes := append(append([]string{}, d.Writes...), id)
-	if len(writes) > MaxWrites {
-		writes = writes[len(writes)-MaxWrites:]
-	}
-	d.Writes = writes
-	return d
-}
-
-// Wrote reports whether d contains the write with the ID.
-func (d Document) Wrote(id string) bool {
-	for _, w := range d.Writes {
-		if w == id {
-			return true
-		}
-	}
-	return false
-}
-
-// WithDrain returns d with the upstream at the address draining until the time given. The
-// result is false if d has no such upstream.
-func (d Document) WithDrain(at string, until time.Time) (Document, bool) {
-	upstreams := append([]Member{}, d.Upstreams...)
-	found := false
-	for i, m := range upstreams {
-		if m.At == at {
-			upstreams[i] = Member{At: at, Domain: m.Domain, State: Drain, Until: until.Unix()}
-			found = true
-		}
-	}
-	d.Upstreams = upstreams
-	return d, found
-}
-
-// Text returns d as indented JSON.
-func (d Document) Text() []byte {
-	text, err := json.MarshalIndent(d, "", "  ")
-	if err != nil {
-		panic(err) // a Document has only plain values
-	}
-	return append(text, '\n')
-}
-
 // AcceptsFlows reports whether u takes new flows.
 func (u Upstream) AcceptsFlows() bool { return !u.Draining && !u.Evacuated }
 
@@ -317,33 +166,3 @@
 	}
 	return time.Duration(value) * time.Second, nil
 }
-
-// decode parses JSON with comments into to. It refuses unknown fields.
-func decode(text []byte, to any) error {
-	if err := checkDepth(text); err != nil {
-		return err
-	}
-	standard, err := hujson.Standardize(text)
-	if err != nil {
-		return errors.Errorf("%v, expected JSON with comments", err)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(to); err != nil {
-		cause := strings.TrimPrefix(err.Error(), "json: ")
-		offset := decoder.InputOffset()
-		if field, ok := strings.CutPrefix(cause, "unknown field "); ok {
-			offset = int64(max(bytes.Index(standard, []byte(field)), 0))
-		}
-		return errors.Errorf("line %d: %s", lineOf(standard, offset), cause)
-	}
-	if decoder.More() {
-		return errors.Errorf("line %d: expected nothing after the document", lineOf(standard, decoder.InputOffset()))
-	}
-	return nil
-}
-
-func lineOf(text []byte, offset int64) int {
-	offset = min(offset, int64(len(text)))
-	return 1 + bytes.Count(text[:offset], []byte("\n"))
-}
