--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -17,10 +17,8 @@
 package sparregistry
 
 import (
-	"bytes"
 	"encoding/binary"
 	"maps"
-	"slices"
 	"sort"
 	"strings"
 
@@ -45,21 +43,6 @@
 		at      Position // at which it is complete; revision 0 while it keeps entries of earlier eras
 		synced  bool
 	}
-
-	// Delta is what a VM sends to a peer of its registry: the entries that have changed
-	// after a position of the same era and the deletions on record since then, or a full copy.
-	Delta struct {
-		After   Position // zero for a full copy
-		Entries []Entry
-		Base    uint64   // digest of the live entries that have not changed after After
-		At      Position // at which the registry is complete
-		Synced  bool     // the registry holds a full read
-	}
-
-	// PassedOver is an entry of a read that loses to the one held.
-	PassedOver struct {
-		Read, Held Entry
-	}
 )
 
 // Get returns the live entry of key.
@@ -91,56 +74,6 @@
 	return n
 }
 
-// PassedOver returns the entries of a read that would be left out although their values differ
-// from those held, because r holds their key at a later position.
-func (r Registry) PassedOver(entries []Entry) []PassedOver {
-	var passed []PassedOver
-	for _, e := range entries {
-		held, ok := r.entries[e.Key]
-		if ok && !e.newer(held) && (held.Deleted || !bytes.Equal(held.Value, e.Value)) {
-			passed = append(passed, PassedOver{Read: e, Held: held})
-		}
-	}
-	return passed
-}
-
-// Delta returns the delta for a peer whose registry is complete at after. It returns a full
-// copy if after is at no revision or of another era.
-func (r Registry) Delta(after Position) Delta {
-	if after.Era != r.at.Era || after.Revision == 0 {
-		after = Position{}
-	}
-	d := Delta{After: after, Entries: []Entry{}, Base: r.baseDigest(after), At: r.at, Synced: r.synced}
-	for _, e := range r.entries {
-		if e.Position().Compare(after) > 0 {
-			d.Entries = append(d.Entries, e)
-		}
-	}
-	slices.SortFunc(d.Entries, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	return d
-}
-
-// DeltaSize returns the number of bytes in the keys and values of the delta after a position.
-func (r Registry) DeltaSize(after Position) (size int) {
-	for key, e := range r.entries {
-		if e.Position().Compare(after) > 0 {
-			size += len(key) + len(e.Value)
-		}
-	}
-	return size
-}
-
-// baseDigest returns the digest of the live entries that have not changed after a position.
-func (r Registry) baseDigest(after Position) uint64 {
-	sum := uint64(0)
-	for _, e := range r.entries {
-		if e.Position().Compare(after) <= 0 {
-			sum ^= digest(e)
-		}
-	}
-	return sum
-}
-
 // Position returns the position of the platform at which r is complete. Its revision is 0
 // while r keeps entries of earlier eras.
 func (r Registry) Position() Position { return r.at }
@@ -211,89 +144,6 @@
 	return next
 }
 
-// WithFullRead returns r merged with the entries of a full read of the platform at a position.
-// Keys that are not among them are deleted, unless r holds them at that position or later, so
-// that an old read deletes nothing newer. A read of several pages may contain entries of
-// later revisions and lack others, so the result is complete at the position only. It holds
-// nothing of earlier eras. A read of an earlier era changes nothing.
-func (r Registry) WithFullRead(entries []Entry, at Position) Registry {
-	if at.Era < r.at.Era {
-		return r
-	}
-	next := r.settle(at).replace(entries, Position{}, at)
-	next.synced = true
-	return next
-}
-
-// WithPartial returns r merged with an incomplete set of entries. It remains complete at the
-// position that it had.
-func (r Registry) WithPartial(entries []Entry) Registry { return r.merge(entries) }
-
-// replace returns r merged with entries, which include every live entry that changed
-// between after and at. Other keys of r that changed in between are deleted.
-func (r Registry) replace(entries []Entry, after, at Position) Registry {
-	next := r.merge(entries)
-	present := keySet(entries)
-	var deleted []Entry
-	for key, e := range next.entries {
-		if !e.Deleted && !present[key] && e.Position().Compare(after) > 0 && e.Position().Compare(at) < 0 {
-			deleted = append(deleted, e.deletion(at))
-		}
-	}
-	return next.merge(deleted)
-}
-
-// WithChanges returns r merged with the entries of an incremental read after the position
-// after, at which r must be complete. revisions are those of all changes at the platform, in
-// order, including changes of keys that r does not hold. It returns r unchanged and false if
-// a revision up to reached, which the platform has reached, is missing, or if the platform
-// has gone back: the read is then incomplete.
-func (r Registry) WithChanges(entries []Entry, revisions []uint64, after, reached Position) (next Registry, ok bool) {
-	if reached.Era != after.Era || reached.Era != r.at.Era || reached.Revision < after.Revision {
-		return r, false
-	}
-	last := after.Revision
-	for _, revision := range revisions {
-		if revision > last+1 {
-			return r, false
-		}
-		last = max(last, revision)
-	}
-	if last < reached.Revision || r.at.Revision < after.Revision || !r.synced {
-		return r, false
-	}
-	next = r.merge(entries)
-	next.at = latest(r.at, Position{Era: after.Era, Revision: last})
-	return next, true
-}
-
-// WithDelta returns r merged with the delta of a peer. A peer that has started recently never
-// held some of the deleted keys and so can't include their deletions. Therefore the digests of
-// the older entries of both are compared. If they differ, a deletion is missing: complete is
-// false and the result remains complete only at the position of r. Entering another era also
-// takes a full copy. What r holds is later than the delta of a peer in an earlier era.
-func (r Registry) WithDelta(d Delta) (next Registry, complete bool) {
-	full := d.After.IsZero()
-	switch {
-	case d.At.Era < r.at.Era:
-		return r, true
-	case d.At.Revision == 0:
-		return r.withUnsettled(d), full && d.Synced
-	case d.At.Era > r.at.Era || !r.settled():
-		if !full || !d.Synced {
-			return r, false
-		}
-		return r.WithFullRead(d.Entries, d.At), true
-	}
-	next = r.replace(d.Entries, d.After, d.At)
-	if !d.Synced || next.baseDigest(d.After) != d.Base {
-		return next, false
-	}
-	next.at = latest(r.at, d.At)
-	next.synced = true
-	return next, true
-}
-
 func keySet(entries []Entry) map[string]bool {
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
