--- a/internal/operator/sparwrite/write.go
+++ b/internal/operator/sparwrite/write.go
@@ -17,9 +17,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +25,6 @@
 	"github.com/oleanderspar/oleanderspar/internal/platform/sparkv"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
-	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
 const (
@@ -52,7 +48,6 @@
 
 	retryWait  = 200 * time.Millisecond
 	drainTries = 8
-	idBytes    = 8
 )
 
 type (
@@ -68,15 +63,6 @@
 		Document sparconfig.Document
 		Revision uint64
 	}
-
-	// attempt is a write whose outcome is not known yet.
-	attempt struct {
-		key   string
-		id    string
-		value []byte
-		base  Held // the document that the write replaces
-		sent  bool // a swap may have reached the platform
-	}
 )
 
 // Get returns the document of a service, or the zero Held if it does not exist.
@@ -202,120 +188,6 @@
 	return w.commit(ctx, &attempt{key: key, id: id, value: d.Text(), base: base})
 }
 
-// commit repeats a write until its outcome is known or ctx ends. All swaps expect the same
-// revision and carry the same ID, so at most one takes effect.
-func (w Writer) commit(ctx context.Context, a *attempt) (wrote uint64, err error) {
-	for {
-		ok, err := w.Store.Swap(ctx, a.key, a.value, a.base.Revision)
-		if err == nil && !ok && !a.sent {
-			return 0, w.conflictOf(ctx, a)
-		}
-		a.sent = a.sent || !errors.Is(err, sparkv.ErrUnsent)
-		if a.sent {
-			wrote, known, err := w.readBack(ctx, a)
-			if known {
-				return wrote, err
-			}
-		}
-		if !sparring.Pause(ctx, retryWait) {
-			return 0, a.timeoutError()
-		}
-	}
-}
-
-// conflictOf returns an ErrConflict with the revision that another writer has written.
-func (w Writer) conflictOf(ctx context.Context, a *attempt) error {
-	e, _, err := w.Store.Get(ctx, a.key)
-	if err != nil {
-		return conflict(a.key, 0)
-	}
-	return conflict(a.key, e.Revision)
-}
-
-// readBack finds out the outcome of a write from the document that the platform holds. known
-// is false if that could not be read or the write may still take effect.
-func (w Writer) readBack(ctx context.Context, a *attempt) (wrote uint64, known bool, err error) {
-	e, ok, err := w.Store.Get(ctx, a.key)
-	if err != nil {
-		return 0, false, nil
-	}
-	if !ok {
-		return 0, a.base.Revision > 0, conflict(a.key, 0)
-	}
-	if e.Revision == a.base.Revision {
-		return 0, false, nil // an earlier swap may still arrive; the next one decides
-	}
-	h, err := parse(e)
-	if err != nil {
-		return 0, true, conflict(a.key, e.Revision)
-	}
-	if h.Document.Wrote(a.id) {
-		return e.Revision, true, nil
-	}
-	if a.idEvicted(h.Document) {
-		return 0, true, errors.WithType(errors.Errorf("%s: too many writes since then, now at revision %d", a.key, e.Revision), ErrUnknown)
-	}
-	return 0, true, conflict(a.key, e.Revision)
-}
-
-// idEvicted reports whether so many writes followed that the document may have dropped
-// the ID of a: no ID of the base document is left.
-func (a *attempt) idEvicted(now sparconfig.Document) bool {
-	if len(a.base.Document.Writes) == 0 {
-		return len(now.Writes) >= sparconfig.MaxWrites
-	}
-	return !now.Wrote(a.base.Document.Writes[len(a.base.Document.Writes)-1])
-}
-
-// timeoutError returns the error of a write that ended before its outcome was known.
-func (a *attempt) timeoutError() error {
-	if a.sent {
-		return errors.WithType(errors.Errorf("%s: write %s", a.key, a.id), ErrUnknown)
-	}
-	return errors.WithType(errors.Errorf("%s", a.key), ErrUnwritten)
-}
-
-// claim claims every address of d for the service. It returns ErrForbidden if another
-// service has a claim on one of them. A claim of this service that base doesn't use is
-// renewed, because VMs release an unused claim whose revision doesn't change. A claim left
-// without a document is harmless until they release it.
-func (w Writer) claim(ctx context.Context, service string, d sparconfig.Document, base Held) error {
-	if d.Removed {
-		return nil
-	}
-	name := w.Team + "/" + service
-	var used []string
-	if !base.Document.Removed {
-		used = base.Document.Claims()
-	}
-	for _, key := range d.Claims() {
-		if err := w.claimOne(ctx, key, name, slices.Contains(used, key)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// claimOne creates or renews one claim. A claim in use needs no renewal.
-func (w Writer) claimOne(ctx context.Context, key, name string, used bool) error {
-	for {
-		e, held, err := w.Store.Get(ctx, key)
-		switch {
-		case err == nil && held && string(e.Value) != name:
-			return errors.WithType(errors.Errorf("%s is held by %s", strings.TrimPrefix(key, sparconfig.ClaimPrefix), e.Value), ErrForbidden)
-		case err == nil && held && used:
-			return nil
-		case err == nil:
-			if ok, err := w.Store.Swap(ctx, key, []byte(name), e.Revision); err == nil && ok {
-				return nil
-			}
-		}
-		if !sparring.Pause(ctx, retryWait) {
-			return unwritten(errors.Annotatef(ctx.Err(), "claim %s", key))
-		}
-	}
-}
-
 func (w Writer) key(service string) (key string, err error) {
 	if err := sparconfig.CheckName(w.Team); err != nil {
 		return "", errors.WithType(errors.Annotate(err, "team"), ErrInvalid)
@@ -350,9 +222,3 @@
 	}
 	return errors.WithType(err, ErrUnwritten)
 }
-
-func newID() string {
-	var b [idBytes]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
