sparentry: event loop, leaving and kinds of log lines in files of their own

Change: moves only. The lines of the package before and after are the same (sorted and compared, imports and heads of groups aside).

--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -20,7 +20,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,7 +31,6 @@
 	"github.com/oleanderspar/oleanderspar/internal/event/spartimeline"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparleave"
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
-	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
@@ -62,16 +60,6 @@
 	// socketBuffer is the size of a socket's kernel buffer in bytes: the packets of a ring
 	// at their usual size.
 	socketBuffer = 4 << 20
-
-	// tickEvery is the interval of the event loop's timer: a fraction of the 200 ms after
-	// which a client retransmits a packet.
-	tickEvery = 50 * time.Millisecond
-	// lateTick is the time since the last tick from which on a packet is handled only after the
-	// next one.
-	lateTick = 4 * tickEvery
-	// startTick is the interval until the VM has settings. It is shorter so that waiting for
-	// ticks does not delay the start.
-	startTick = 5 * time.Millisecond
 )
 
 type (
@@ -227,107 +215,3 @@
 		_ = c.Close() // no data is pending
 	}
 }
-
-// eventLoop handles packets, inputs, queries and ticks one at a time. It alone accesses
-// the state. stop is done when the VM is to leave.
-func (vm *VM) eventLoop(workers, stop context.Context, reload <-chan sparconfig.File) error {
-	ticker := time.NewTicker(startTick)
-	defer ticker.Stop()
-	starting := true
-	stopping := stop.Done()
-	left := vm.left
-	vm.tick()
-	for {
-		select {
-		case p := <-vm.packets.Out():
-			if time.Since(vm.began)-vm.tickedAt > lateTick {
-				vm.tick() // settings have aged while this VM was paused
-			}
-			vm.forward(p)
-		case <-vm.hedges.due():
-			vm.sendHedges()
-		case in := <-vm.inputs.Out():
-			vm.dispatch(in)
-		case query := <-vm.queries.Out():
-			query(vm)
-		case file := <-reload:
-			vm.reload(file)
-		case <-ticker.C:
-			vm.tick()
-			if starting && vm.synced {
-				starting = false
-				ticker.Reset(tickEvery)
-			}
-			if left != nil && vm.leave.Done(vm.clock.now()) {
-				close(left)
-				left = nil
-			}
-		case <-vm.drained:
-			return nil
-		case <-stopping:
-			stopping = nil
-			vm.leave.Begin(vm.file.Name, vm.clock.now(), vm.carrier.Grace)
-			vm.logLeaving()
-			vm.coordinateLeave(vm.clock.now())
-		case <-workers.Done():
-			return nil
-		}
-	}
-}
-
-// reload applies the settings that may change while the VM runs: the seeds and the grace
-// time. Addresses stay.
-func (vm *VM) reload(file sparconfig.File) {
-	vm.file.Seeds = file.Seeds
-	if carrier, ok := file.CarrierSettings().(sparconfig.CookieCarrier); ok {
-		vm.carrier.Grace = carrier.Grace
-	}
-	vm.sync.Seeds(file.Seeds)
-	vm.logReload()
-}
-
-// tick does the periodic work of the event loop.
-func (vm *VM) tick() {
-	now := vm.clock.now()
-	vm.tickedAt = time.Since(vm.began)
-	vm.engine.Advance(vm.tickedAt)
-	vm.engine.SetFresh(vm.sync.Fresh(now))
-	vm.age = vm.sync.Age(now)
-	vm.renewWarm()
-	vm.engine.Tick()
-	state := vm.sync.State()
-	vm.perform(vm.sync.Tick(now), now)
-	if vm.sync.Fresh(now) {
-		vm.regainPlatform(vm.sync.Reader())
-	}
-	vm.register(now)
-	vm.coordinateLeave(now)
-	vm.shareEvidence(now)
-	vm.logState(state)
-	vm.logEvents()
-	vm.metrics.publish(vm)
-}
-
-// coordinateLeave makes VMs of a failure domain that were told to stop leave one after the
-// other: it sends announcements to them and refuses probes when it is this VM's turn.
-func (vm *VM) coordinateLeave(now time.Duration) {
-	if !vm.leave.Begun() {
-		return
-	}
-	siblings := vm.siblings()
-	refused := !vm.leave.Ready()
-	for _, d := range vm.leave.Tick(len(siblings)+1, now) {
-		for _, sibling := range siblings {
-			vm.sendControl(sibling, sparcontrol.EncodeDeparture(d))
-		}
-	}
-	if !vm.leave.Ready() && !refused {
-		vm.ready.Store(false)
-		vm.logRefusing()
-	}
-}
-
-// siblings returns the other VMs of this failure domain.
-func (vm *VM) siblings() []sparconfig.VM {
-	return slices.DeleteFunc(vm.others(), func(other sparconfig.VM) bool { return other.Domain != vm.file.Domain })
-}
