sparmember: views and heartbeats in files of their own

Change: moves only. The lines of the package before and after are the same (sorted and compared, imports and heads of groups aside).

--- a/internal/member/sparmember/member.go
+++ b/internal/member/sparmember/member.go
@@ -14,15 +14,10 @@
 
 import (
 	_ "embed"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
-	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/state/sparchart"
 )
 
@@ -51,35 +46,6 @@
 var vmChart = sparchart.MustParse(chartText)
 
 type (
-	// Member is a VM that may own slots.
-	Member struct {
-		VM          sparconfig.VM
-		Incarnation uint64
-		Rank        uint64 // hash of the name, for rendezvous hashing
-	}
-
-	// View is the set of VMs that may own slots, in name order. It is immutable.
-	View struct {
-		Members []Member
-		Leaving []Member // peers that are leaving and hand their slots over
-		Digest  uint64
-		Settled bool // all live peers report this view, or disagreementTimeout has passed
-	}
-
-	// Heartbeat is the state of a VM that it sends to each peer.
-	Heartbeat struct {
-		VM          sparconfig.VM
-		Incarnation uint64
-		Owns        bool // may own slots
-		Leaving     bool
-		Synced      bool                  // its settings hold a full read
-		At          sparregistry.Position // of its settings
-		Digest      uint32                // of its settings, folded
-		View        uint32                // digest of its view, folded
-		Unreachable []string              // targets without a heartbeat within peerTimeout, in name order
-		Full        bool                  // VM contains the addresses, not only the name
-	}
-
 	// Tracker tracks the membership of the VMs of a deployment on behalf of one of them.
 	Tracker struct {
 		self           sparconfig.VM
@@ -128,24 +94,6 @@
 	t.synced = true
 }
 
-// Received is called for a heartbeat received. The first one of a peer is ignored unless it
-// contains the addresses of the peer.
-func (t *Tracker) Received(h Heartbeat, now time.Duration) {
-	p := t.peers[h.VM.Name]
-	switch {
-	case h.VM.Name == t.self.Name:
-		return
-	case p == nil && !h.Full:
-		return
-	case p != nil && h.Incarnation < p.last.Incarnation:
-		return
-	}
-	if !h.Full {
-		h.VM = p.last.VM
-	}
-	t.peers[h.VM.Name] = &peer{last: h, receivedAt: now}
-}
-
 // Stop makes the VM leave. It owns no slots from the next view on.
 func (t *Tracker) Stop() { t.state = vmChart.Next(t.state, "stop") }
 
@@ -202,84 +150,6 @@
 	return waited >= disagreementTimeout
 }
 
-// View returns the VMs that may own slots at now.
-func (t *Tracker) View(now time.Duration) View {
-	next := View{Settled: true}
-	if vmChart.Has(t.state, owns) {
-		next.Members = append(next.Members, member(t.self, t.incarnation))
-	}
-	for _, p := range t.peers {
-		switch {
-		case !t.live(p, now):
-		case p.last.Owns && t.receives(p):
-			next.Members = append(next.Members, member(p.last.VM, p.last.Incarnation))
-		case p.last.Leaving:
-			next.Leaving = append(next.Leaving, member(p.last.VM, p.last.Incarnation))
-		}
-	}
-	slices.SortFunc(next.Members, func(a, b Member) int { return strings.Compare(a.VM.Name, b.VM.Name) })
-	next.Digest = viewDigest(next.Members)
-	for _, p := range t.peers {
-		if t.live(p, now) && p.last.View != Fold(next.Digest) {
-			next.Settled = false
-		}
-	}
-	if next.Settled || next.Digest != t.view.Digest {
-		t.unsettledSince = now
-	}
-	if now-t.unsettledSince > disagreementTimeout {
-		next.Settled = true
-	}
-	t.view = next
-	return next
-}
-
-// Heartbeat returns the heartbeat of this VM with the given settings.
-func (t *Tracker) Heartbeat(at sparregistry.Position, digest uint64, now time.Duration) Heartbeat {
-	h := Heartbeat{
-		VM: t.self, Incarnation: t.incarnation, Synced: t.synced,
-		Owns: vmChart.Has(t.state, owns), Leaving: t.state == "leaving",
-		At: at, Digest: Fold(digest), View: Fold(t.view.Digest),
-	}
-	for _, vm := range t.Targets() {
-		if p := t.peers[vm.Name]; p == nil || !t.live(p, now) {
-			h.Unreachable = append(h.Unreachable, vm.Name)
-		}
-	}
-	return h
-}
-
-// Targets returns the VMs to send heartbeats to, in name order: those registered and those
-// from which heartbeats were received.
-func (t *Tracker) Targets() []sparconfig.VM {
-	targets := map[string]sparconfig.VM{}
-	for name, vm := range t.registered {
-		targets[name] = vm
-	}
-	for name, p := range t.peers {
-		targets[name] = p.last.VM
-	}
-	delete(targets, t.self.Name)
-	list := make([]sparconfig.VM, 0, len(targets))
-	for _, vm := range targets {
-		list = append(list, vm)
-	}
-	slices.SortFunc(list, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
-	return list
-}
-
-// Live returns the last heartbeats of the peers that have not timed out, in name order.
-func (t *Tracker) Live(now time.Duration) []Heartbeat {
-	var list []Heartbeat
-	for _, p := range t.peers {
-		if t.live(p, now) {
-			list = append(list, p.last)
-		}
-	}
-	slices.SortFunc(list, func(a, b Heartbeat) int { return strings.Compare(a.VM.Name, b.VM.Name) })
-	return list
-}
-
 // Incarnation returns the incarnation of a peer from which a heartbeat was received.
 func (t *Tracker) Incarnation(name string) (incarnation uint64, ok bool) {
 	p := t.peers[name]
@@ -309,29 +179,6 @@
 	return t.registered[name].State == sparconfig.Live
 }
 
-// ReceivesFrom reports whether this VM receives the heartbeats of a peer.
-func (t *Tracker) ReceivesFrom(name string, now time.Duration) bool {
-	p := t.peers[name]
-	return p != nil && t.live(p, now)
-}
-
-// ViewIncomplete reports whether the view may be incomplete: a VM that is registered as live
-// is unreachable, or was within disagreementTimeout before now.
-func (t *Tracker) ViewIncomplete(now time.Duration) bool {
-	for name, vm := range t.registered {
-		if name != t.self.Name && vm.State == sparconfig.Live && !t.ReceivedBy(name, now) {
-			t.unreachableAt = now
-			break
-		}
-	}
-	return t.unreachableAt > 0 && now-t.unreachableAt < disagreementTimeout
-}
-
-// ReceivedBy reports whether a peer receives the heartbeats of this VM and so has its addresses.
-func (t *Tracker) ReceivedBy(name string, now time.Duration) bool {
-	return t.ReceivesFrom(name, now) && t.receives(t.peers[name])
-}
-
 // ReadsPlatform reports whether this VM reads the platform for its failure domain. The two
 // VMs of the domain with the highest rendezvous weights do. Peers that are not synced don't
 // count.
@@ -350,44 +197,3 @@
 	}
 	return preceding < readers
 }
-
-// live reports whether a heartbeat of the peer was received within peerTimeout.
-func (t *Tracker) live(p *peer, now time.Duration) bool {
-	return now-p.receivedAt <= peerTimeout
-}
-
-// receives reports whether the peer receives the heartbeats of this VM: it doesn't report
-// this VM as unreachable. A peer that didn't know this VM would not send heartbeats to it.
-func (t *Tracker) receives(p *peer) bool {
-	_, unreachable := slices.BinarySearch(p.last.Unreachable, t.self.Name)
-	return !unreachable
-}
-
-func member(vm sparconfig.VM, incarnation uint64) Member {
-	return Member{VM: vm, Incarnation: incarnation, Rank: sparrank.Hash(vm.Name)}
-}
-
-func viewDigest(members []Member) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, m := range members {
-		_, _ = d.WriteString(m.VM.Name)
-		_, _ = d.Write([]byte{0, byte(m.Incarnation), byte(m.Incarnation >> 8), byte(m.Incarnation >> 16), byte(m.Incarnation >> 24)})
-	}
-	return d.Sum64()
-}
-
-// Fold folds a digest to the 32 bits that a heartbeat carries.
-func Fold(digest uint64) uint32 {
-	return uint32(digest ^ digest>>32)
-}
-
-// Index returns the position of the member called name, or -1.
-func (v View) Index(name string) int {
-	for i, m := range v.Members {
-		if m.VM.Name == name {
-			return i
-		}
-	}
-	return -1
-}
