--- a/internal/settings/sparconfig/evacuation.go
+++ b/internal/settings/sparconfig/evacuation.go
@@ -102,9 +102,12 @@
 }
 
 // Shorten returns text of other writers cut to a length that logs and status lines can hold.
-func Shorten(text string) string {
-	if len(text) <= maxText {
+func Shorten(text string) string { return ShortenTo(text, maxText) }
+
+// ShortenTo returns text, or its first most bytes and "..." if it is longer.
+func ShortenTo(text string, most int) string {
+	if len(text) <= most {
 		return text
 	}
-	return strings.ToValidUTF8(text[:maxText], "") + "..."
+	return strings.ToValidUTF8(text[:most], "") + "..."
 }
