--- a/internal/settings/sparconfig/carrier_test.go
+++ b/internal/settings/sparconfig/carrier_test.go
@@ -46,6 +46,8 @@
 		"seed with a host name": {strings.Replace(cookieFile, "127.0.0.1:5", "seed:5", 1), "seeds[0]"},
 		"platform without port": {strings.Replace(cookieFile, "127.0.0.1:4", "127.0.0.1", 1), "platform"},
 		"geneve without fabric": {strings.Replace(geneveFile, `"fabric": "127.0.0.1:3", `, "", 1), "fabric"},
+		"data as control":       {strings.Replace(geneveFile, "127.0.0.1:2", "127.0.0.1:1", 1), "control: 127.0.0.1:1 is the address of data"},
+		"control as ready":      {strings.Replace(cookieFile, "127.0.0.1:3", "127.0.0.1:2", 1), "ready: 127.0.0.1:2 is the address of control"},
 		"secret too short":      {strings.Replace(geneveFile, "000102", "", 1), "secret"},
 	}
 	for name, c := range cases {
@@ -58,6 +60,38 @@
 	}
 }
 
+// TestErrorsNameTheField covers mistakes of types and syntax: the line that an operator sees names the
+// line and the field of the file and what was expected there, in words of JSON.
+func TestErrorsNameTheField(t *testing.T) {
+	for _, c := range []struct{ name, fields, want string }{
+		{"text for a list", `"seeds": "127.0.0.1:5"`, "line 2: seeds: a string, expected a list"},
+		{"text for a whole number", `"flows": "many"`, "line 2: flows: a string, expected a whole number"},
+		{"fraction for a whole number", `"flows": 2.5`, "line 2: flows: 2.5, expected a whole number"},
+		{"number for a text", `"log": 7`, "line 2: log: a number, expected a string"},
+		{"figure with its unit", `"force": "3s"`, `line 2: force: "3s", expected a number`},
+		{"object for a figure", `"force": {}`, "line 2: force: {}, expected a number"},
+		{"figure out of range", `"overage": -1`, "overage: -1, expected 0 to 1000000 times"},
+		{"figure far out of range", `"beat": 1e300`, "beat: 1e+300, expected 100 to 600000 milliseconds"},
+		{"unknown field", `"froce": 1`, `line 2: unknown field "froce"`},
+		{"no comma", `"log": "json" "flows": 1`, `line 2, column 15: invalid character '"' after object value (expecting ',' or '}'), expected JSON with comments`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(cookieFile, "{", "{\n"+c.fields+",\n", 1)
+			if _, err := sparconfig.ParseFile([]byte(text)); err == nil || err.Error() != c.want {
+				t.Errorf("error %v, want %s", err, c.want)
+			}
+		})
+	}
+	for text, want := range map[string]string{
+		"7": "line 1: a number, expected an object", "[]": "line 1: a list, expected an object",
+		`{"upstreams": [7]}`: "line 1: upstreams: a number, expected an object",
+	} {
+		if _, err := sparconfig.ParseDocument([]byte(text)); err == nil || err.Error() != want {
+			t.Errorf("%s: error %v, want %s", text, err, want)
+		}
+	}
+}
+
 // TestFigures guards against VMs that do not start since a figure of their settings is not written
 // as a whole number.
 func TestFigures(t *testing.T) {
--- a/internal/settings/sparconfig/vmcheck.go
+++ b/internal/settings/sparconfig/vmcheck.go
@@ -30,6 +30,9 @@
 			return errors.Annotatef(err, "seeds[%d]", i)
 		}
 	}
+	if f.Data == f.Control {
+		return errors.Errorf("control: %s is the address of data as well, expected another one", f.Control)
+	}
 	if f.Log != "" && f.Log != "text" && f.Log != "json" {
 		return errors.Errorf("log: %q, expected text or json", f.Log)
 	}
@@ -73,6 +76,9 @@
 	if err := checkAddress(f.Ready); err != nil {
 		return errors.Annotate(err, "ready")
 	}
+	if f.Ready == f.Control {
+		return errors.Errorf("ready: %s is the address of control as well, expected another one", f.Ready)
+	}
 	if err := f.Force.check("force", minForce, maxForce, "milliseconds"); err != nil {
 		return err
 	}
