sparconfig: parsing leaves the text as it is

Cause: hujson.Standardize overwrites comments and trailing commas in its argument, and decode gave it the value of a registry's entry. Registries are shared and immutable: a value with a comment was changed in place, beside other goroutines that may encode it, and the same entry read again differed from the one held (entries passed over). Ruled out: an effect on entries that VMs or 'set' write; those have no comments. Change: decode works on a copy. Test: TestParsingLeavesTheText, which failed first.

--- a/internal/settings/sparconfig/config_test.go
+++ b/internal/settings/sparconfig/config_test.go
@@ -116,3 +116,16 @@
 		}
 	})
 }
+
+// TestParsingLeavesTheText guards against comments that vanish from an entry of a registry when it is
+// parsed: the entry is shared, and one read again would count as another value.
+func TestParsingLeavesTheText(t *testing.T) {
+	const text = `{"domain": "north", /* ours */ "data": "10.0.0.1:1", "control": "10.0.0.1:2", "state": "live",} // end` + "\n"
+	value := []byte(text)
+	if _, err := sparconfig.ParseVM("vm-1", value); err != nil {
+		t.Fatal(err)
+	}
+	if string(value) != text {
+		t.Errorf("text is now %s", value)
+	}
+}
--- a/internal/settings/sparconfig/decode.go
+++ b/internal/settings/sparconfig/decode.go
@@ -21,7 +21,7 @@
 	if err := checkDepth(text); err != nil {
 		return err
 	}
-	standard, err := hujson.Standardize(text)
+	standard, err := hujson.Standardize(bytes.Clone(text)) // it overwrites comments in place
 	if err != nil {
 		return errors.Errorf("%s, expected JSON with comments", strings.TrimPrefix(err.Error(), "hujson: "))
 	}
