check: a configuration is told from other documents, values that are passed over are named

Cause: mistakes were put into a configuration of all routes, a service document and a settings file and read with check. A settings file without 'platform' and a configuration without 'routes' were read as service documents ('unknown field "carrier"', '"version"'); comments in a configuration had the same effect. '"1": expected a number' named no field. A warm rate in quotes, a weight below 0, or traffic_split beside service passed as ok, although no VM acts on them. What VMs accept is the same.

--- a/internal/operator/sparcheck/check.go
+++ b/internal/operator/sparcheck/check.go
@@ -12,6 +12,8 @@
 package sparcheck
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 
 	"github.com/juju/errors"
@@ -67,6 +69,7 @@
 	// routing is the operator's document of all routes.
 	routing struct {
 		sparroster.Routing
+		passedOver []platform.PassedOver
 	}
 
 	// service is the document of one service, as written and with defaults.
@@ -125,9 +128,9 @@
 	if platform.IsRouting(text) {
 		fact, err := platform.Decode(sparroster.RoutingKey, text)
 		if err != nil {
-			return nil, err
+			return nil, withLine(err, text)
 		}
-		return routing{fact.(sparroster.Routing)}, nil
+		return routing{fact.(sparroster.Routing), platform.PassedOverValues(text)}, nil
 	}
 	written, err := sparconfig.ParseDocument(text)
 	if err != nil {
@@ -137,6 +140,17 @@
 	return service{written, checked}, err
 }
 
+// withLine returns an error about the syntax of a configuration with the line that it is in. Other
+// errors name a field.
+func withLine(err error, text []byte) error {
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return err
+	}
+	line := 1 + bytes.Count(text[:min(syntax.Offset, int64(len(text)))], []byte("\n"))
+	return errors.Errorf("line %d: %v, expected JSON without comments", line, syntax)
+}
+
 // Worst returns the most severe level of the findings, Change if there are none.
 func (r Report) Worst() Level {
 	worst := Change
--- a/internal/operator/sparcheck/check_test.go
+++ b/internal/operator/sparcheck/check_test.go
@@ -111,6 +111,21 @@
 	})
 }
 
+// TestSyntaxOfConfiguration covers a document of all routes with comments, which VMs refuse, and one
+// whose list of routes has another name.
+func TestSyntaxOfConfiguration(t *testing.T) {
+	text := string(sparfake.Document{Version: 3, Routes: []sparfake.Route{{At: front, Service: "booking"}}}.Text())
+	_, err := sparcheck.Check([]byte("// ours\n" + text + "\n"))
+	if err == nil || !strings.HasPrefix(err.Error(), "line 1: invalid character '/'") || !strings.HasSuffix(err.Error(), "expected JSON without comments") {
+		t.Errorf("error %v", err)
+	}
+	r, err := sparcheck.Check([]byte(strings.Replace(text, "routes", "route", 1)))
+	if err != nil || r.Kind != sparcheck.Configuration {
+		t.Fatalf("kind %q, error %v", r.Kind, err)
+	}
+	assertFindings(t, r, "warning routes: none, new flows are refused everywhere")
+}
+
 // TestConfigurationAgainst covers what differs from the version in force, and versions that VMs pass
 // over.
 func TestConfigurationAgainst(t *testing.T) {
--- a/internal/operator/sparcheck/routing.go
+++ b/internal/operator/sparcheck/routing.go
@@ -14,6 +14,9 @@
 	for _, cause := range d.Refused {
 		r.add(Error, "routes", "left out, %s", cause)
 	}
+	for _, p := range d.passedOver {
+		r.add(Error, p.Where, "%s", p.Cause)
+	}
 	if len(d.Routes) == 0 {
 		r.add(Warning, "routes", "none, new flows are refused everywhere")
 	}
--- a/internal/operator/sparcli/check.go
+++ b/internal/operator/sparcli/check.go
@@ -14,8 +14,9 @@
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
-// platformKey matches the key of a settings file that no service document has.
-var platformKey = regexp.MustCompile(`"platform"\s*:`)
+// settingsKey matches the keys of a settings file that no service document has. One of them may be
+// missing or misspelt.
+var settingsKey = regexp.MustCompile(`"(carrier|control|platform)"\s*:`)
 
 type (
 	checkCommand struct {
@@ -73,9 +74,9 @@
 }
 
 // isSettings reports whether a text is the settings file of a VM. Of the others only a configuration
-// may contain the word as a key, as the name of a service.
+// may have one of these words as a key.
 func isSettings(text []byte) bool {
-	return platformKey.Match(text) && !platform.IsRouting(text)
+	return settingsKey.Match(text) && !platform.IsRouting(text)
 }
 
 func (c *checkCommand) checkSettings(text []byte) (r sparcheck.Report, err error) {
--- a/internal/operator/sparcli/cli.go
+++ b/internal/operator/sparcli/cli.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
@@ -90,6 +91,13 @@
 	return "oleanderspar is a layer-4 load balancer.\n"
 }
 
+// Epilogue implements arg.Epilogued. The help text ends with it.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done or status ok, 1 failed, 2 invalid, 3 conflict, 4 not written, 5 outcome unknown,\n" +
+		"6 forbidden, 7 check found warnings, 10 status hold, 11 status retry, 12 status call.\n" +
+		"docs/OPERATORS.md says what to do at each."
+}
+
 // Main runs the program and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var a arguments
@@ -102,7 +110,7 @@
 		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
 		return Done
 	case err != nil:
-		fmt.Fprintf(stderr, "oleanderspar: %v\n", err)
+		fmt.Fprintf(stderr, "oleanderspar: %v, see oleanderspar %s\n", err, strings.Join(append(parser.SubcommandNames(), "--help"), " "))
 		return Invalid
 	}
 	c, ok := parser.Subcommand().(command)
