sparprocess: until '' waits until the command succeeds

Cause: 'until "" oleanderspar list' in three scripts is meant to wait for the platform, but any output contains an empty text, so it went on at once.

--- a/internal/proof/sparprocess/command_test.go
+++ b/internal/proof/sparprocess/command_test.go
@@ -25,10 +25,14 @@
 	}
 }
 
-// runUntil repeats a command until its output contains the first argument.
+// runUntil repeats a command until its output contains the first argument, or, if that is empty, until
+// the command succeeds.
 func runUntil(ts *testscript.TestScript, neg bool, args []string) {
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		_ = ts.Exec(args[1], args[2:]...)
+		err := ts.Exec(args[1], args[2:]...)
+		if args[0] == "" && err != nil {
+			continue
+		}
 		if strings.Contains(ts.ReadFile("stdout"), args[0]) {
 			return
 		}
