sparstore: Faults instead of Trouble

The type that sets the faults of the fake service has the name of its method SetFaults. The two test files change in that name alone.

--- a/internal/operator/sparwrite/evacuate_test.go
+++ b/internal/operator/sparwrite/evacuate_test.go
@@ -70,7 +70,7 @@
 
 func TestEvacuateWithLostResponse(t *testing.T) {
 	p := newPlatform(t)
-	p.store.SetFaults(sparstore.Trouble{Lose: 1})
+	p.store.SetFaults(sparstore.Faults{Lose: 1})
 	revision, err := p.evacuator().Evacuate(context.Background(), "north")
 	if err != nil {
 		t.Fatal(err)
@@ -169,7 +169,7 @@
 	ctx := context.Background()
 	t.Run("down", func(t *testing.T) {
 		p := newPlatform(t)
-		p.store.SetFaults(sparstore.Trouble{Down: true})
+		p.store.SetFaults(sparstore.Faults{Down: true})
 		_, err := p.evacuator().Evacuate(ctx, "north")
 		assertCause(t, err, sparwrite.ErrUnwritten)
 	})
--- a/internal/operator/sparwrite/write_test.go
+++ b/internal/operator/sparwrite/write_test.go
@@ -65,7 +65,7 @@
 	if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
 		t.Fatal(err)
 	}
-	p.store.SetFaults(sparstore.Trouble{Lose: 1})
+	p.store.SetFaults(sparstore.Faults{Lose: 1})
 	revision, err := p.kalk.Set(ctx, "booking", document(1, 0.2), 0)
 	if err != nil {
 		t.Fatalf("Set with a lost response: %v", err)
@@ -166,7 +166,7 @@
 	ctx := context.Background()
 	t.Run("down", func(t *testing.T) {
 		p := newPlatform(t)
-		p.store.SetFaults(sparstore.Trouble{Down: true})
+		p.store.SetFaults(sparstore.Faults{Down: true})
 		_, err := p.kalk.Set(ctx, "booking", document(1, 0), 0)
 		assertCause(t, err, sparwrite.ErrUnwritten)
 	})
@@ -181,13 +181,13 @@
 			t.Fatal(err)
 		}
 		w := p.kalk
-		w.Store = &lossyStore{Store: p.kalk.Store, after: func() { p.store.SetFaults(sparstore.Trouble{Down: true}) }}
+		w.Store = &lossyStore{Store: p.kalk.Store, after: func() { p.store.SetFaults(sparstore.Faults{Down: true}) }}
 		_, err := w.Set(ctx, "booking", document(1, 0.2), 0)
 		assertCause(t, err, sparwrite.ErrUnknown)
 	})
 	t.Run("slow", func(t *testing.T) {
 		p := newPlatform(t)
-		p.store.SetFaults(sparstore.Trouble{Slow: 50 * time.Millisecond})
+		p.store.SetFaults(sparstore.Faults{Slow: 50 * time.Millisecond})
 		if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/stand/sparstore/serve.go
+++ b/internal/stand/sparstore/serve.go
@@ -57,7 +57,7 @@
 }
 
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Trouble
+	var faults Faults
 	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/stand/sparstore/store.go
+++ b/internal/stand/sparstore/store.go
@@ -4,7 +4,7 @@
 //
 //	s := sparstore.New()
 //	server := httptest.NewServer(s)
-//	s.SetFaults(sparstore.Trouble{Down: true})
+//	s.SetFaults(sparstore.Faults{Down: true})
 package sparstore
 
 import (
@@ -17,8 +17,8 @@
 )
 
 type (
-	// Trouble configures the faults of a store.
-	Trouble struct {
+	// Faults configures the faults of a store.
+	Faults struct {
 		Down  bool          `json:"down"`  // close the connection of every call without a response
 		Slow  time.Duration `json:"slow"`  // delay of each call, in nanoseconds
 		Lose  int           `json:"lose"`  // number of writes that take effect without a response
@@ -31,7 +31,7 @@
 		values   map[string]value
 		index    uint64
 		changed  chan struct{}
-		faults   Trouble
+		faults   Faults
 		snapshot map[string]value
 		calls    uint64
 	}
@@ -49,7 +49,7 @@
 }
 
 // SetFaults sets the faults from now on.
-func (s *Store) SetFaults(faults Trouble) {
+func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
