sparserver, sparnode, sparmember: constants and outputs say what they are for

Cause: constants without a comment, and functions whose conditions a newcomer has to work out. A few comments were figurative or out of date (sparconfig.VM has a number too). Comments and one wrapped line only; sendRing is written as twice packetRing, its value is the same.

--- a/internal/member/sparmember/member.go
+++ b/internal/member/sparmember/member.go
@@ -35,6 +35,7 @@
 	// VM registered as live was unreachable.
 	disagreementTimeout = 5 * time.Second
 
+	// forgetAfter is how long a peer stays on record after its last heartbeat.
 	forgetAfter = time.Minute
 
 	owns = sparchart.Mark("owns")
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -32,7 +32,7 @@
 func (v VM) Text() []byte {
 	text, err := json.Marshal(v)
 	if err != nil {
-		panic(err) // a VM has only strings
+		panic(err) // a VM has only plain values
 	}
 	return text
 }
--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -149,7 +149,7 @@
 	return pulled{pull: p, reply: reply, age: age, delta: delta, err: err}
 }
 
-// reportProgress returns a function that tells the event loop about once each progressInterval
+// reportProgress returns a function that reports to the event loop, at most once each progressInterval,
 // that the pull under way makes progress.
 func (vm *VM) reportProgress(ctx context.Context) func() {
 	reported := time.Now()
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -42,7 +42,7 @@
 const (
 	// packetRing is the number of packets that may wait for the event loop: 20 ms at
 	// 200,000 packets a second, about the throughput of a VM. A packet that waits
-	// longer is as good as lost, since its sender retransmits it.
+	// longer is of no use, since its sender has retransmitted it by then.
 	packetRing = 4096
 	// inputRing is the number of inputs that may wait for the event loop: one from each VM
 	// of a large fabric when all of them start at once.
--- a/internal/vm/sparnode/beat.go
+++ b/internal/vm/sparnode/beat.go
@@ -11,6 +11,8 @@
 	loadEvery = 2  // every 2nd heartbeat carries loads
 )
 
+// receiveReport applies a heartbeat. Its loads count only if they are of the service documents that
+// this VM has in force, since they name upstreams by their index.
 func (n *Node) receiveReport(r sparcontrol.Report) {
 	n.clock.Observe(r.Stamp)
 	n.Tracker.Received(r.Heartbeat, n.now)
@@ -34,6 +36,8 @@
 	}
 }
 
+// beat returns a heartbeat to each target. It carries the addresses of this VM also to peers that do
+// not receive its heartbeats yet.
 func (n *Node) beat() []Output {
 	report := sparcontrol.Report{
 		Heartbeat: n.Tracker.Heartbeat(n.inForce, n.snapshot.Digest, n.now),
@@ -53,6 +57,7 @@
 	return outs
 }
 
+// loads returns the open flows of the services that have any, in the slots owned here.
 func (n *Node) loads() []sparcontrol.ServiceLoad {
 	var list []sparcontrol.ServiceLoad
 	for name, counts := range n.Engine.Loads() {
--- a/internal/vm/sparnode/claims.go
+++ b/internal/vm/sparnode/claims.go
@@ -9,6 +9,7 @@
 )
 
 const (
+	// claimCheckEvery is the interval at which claims are compared with the documents.
 	claimCheckEvery = time.Second
 	// claimGrace is how long a claim stays after it is no longer used. It is longer than
 	// a writer may take between writing a claim and writing the document that uses it.
--- a/internal/vm/sparnode/node.go
+++ b/internal/vm/sparnode/node.go
@@ -32,6 +32,8 @@
 	// TickEvery is the interval between calls of Tick.
 	TickEvery = 20 * time.Millisecond
 
+	// pullEvery is the least time between two pulls from a peer: its settings are known anew with
+	// each of its heartbeats.
 	pullEvery = sparmember.Beat
 )
 
--- a/internal/vm/sparnode/streams.go
+++ b/internal/vm/sparnode/streams.go
@@ -54,6 +54,8 @@
 	return s.Acked()
 }
 
+// frames returns the frames that are due on all streams. It deletes the streams to peers that are
+// neither on record nor registered any more.
 func (n *Node) frames() []Output {
 	var outs []Output
 	for _, name := range slices.Sorted(maps.Keys(n.streams)) {
--- a/internal/vm/sparserver/calls.go
+++ b/internal/vm/sparserver/calls.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	retryMin  = 250 * time.Millisecond
-	retryMax  = 2 * time.Second
+	// retryMin and retryMax bound the wait after a failed read of the platform, which doubles with
+	// each failure.
+	retryMin = 250 * time.Millisecond
+	retryMax = 2 * time.Second
+	// idleCheck is how often a VM that does not read the platform checks whether it is to do so.
 	idleCheck = 200 * time.Millisecond
 	// pullTimeout is how long a pull may make no progress.
 	pullTimeout = 1500 * time.Millisecond
--- a/internal/vm/sparserver/control.go
+++ b/internal/vm/sparserver/control.go
@@ -16,6 +16,8 @@
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
 )
 
+// headerTimeout is how long the head of a request may take, so that a client that sends none holds no
+// connection.
 const headerTimeout = 5 * time.Second
 
 // handler serves the twirp service Control.
--- a/internal/vm/sparserver/loop.go
+++ b/internal/vm/sparserver/loop.go
@@ -16,8 +16,10 @@
 )
 
 const (
+	// handoverTimeout is how long a VM that stops waits until others have taken over its slots.
 	handoverTimeout = 30 * time.Second
-	forwardAfter    = 2 * time.Second // after the handover, for packets that the fabric still sends here
+	// forwardAfter is how long it then forwards the packets that the fabric still sends to it.
+	forwardAfter = 2 * time.Second
 )
 
 type (
--- a/internal/vm/sparserver/packets.go
+++ b/internal/vm/sparserver/packets.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	holdTime  = 2 * time.Second
+	// holdTime is how long a packet is held: longer than a handover of its slot and than the first
+	// retransmission by its sender.
+	holdTime = 2 * time.Second
+	// holdLimit is the number of packets that are held at most.
 	holdLimit = 8192
-	headroom  = 16 // bytes left free for the Geneve option of a redirect
+	// headroom is the number of bytes left free for the Geneve option of a redirect.
+	headroom = 16
 )
 
 // heldPackets holds packets until the engine releases their flow: SYNs until the owner of
--- a/internal/vm/sparserver/server.go
+++ b/internal/vm/sparserver/server.go
@@ -36,11 +36,18 @@
 )
 
 const (
+	// packetRing and sendRing are the numbers of packets that may wait for the event loop and for
+	// the data socket. One packet may cause two: itself, and a copy that was held.
 	packetRing = 4096
-	sendRing   = 8192
-	inputRing  = 1024
-	pullRing   = 64
-	queryRing  = 64
+	sendRing   = 2 * packetRing
+	// inputRing is the number of inputs that may wait for the event loop. The datagrams among them
+	// are sent again if they are dropped.
+	inputRing = 1024
+	// pullRing is the number of pulls, and of writes to the platform, that may wait. What does not
+	// fit is requested again.
+	pullRing = 64
+	// queryRing is the number of queries of VMs and operators that may wait.
+	queryRing = 64
 
 	// socketBuffer is the size of a socket's kernel buffer in bytes: room for twice the
 	// packets of a ring.
@@ -97,7 +104,8 @@
 		node:    sparnode.New(file, uint64(began.UnixMilli()), 0, began),
 		packets: sparring.New[*packet](packetRing), sends: sparring.New[*packet](sendRing),
 		inputs: sparring.New[input](inputRing), pulls: sparring.New[sparnode.Pull](pullRing),
-		claims: sparring.New[sparnode.ReleaseClaim](pullRing), eras: sparring.New[sparnode.RaiseEra](1), queries: sparring.NewQueries[*Server](queryRing), held: newHeldPackets(), metrics: newMetrics(),
+		claims: sparring.New[sparnode.ReleaseClaim](pullRing), eras: sparring.New[sparnode.RaiseEra](1),
+		queries: sparring.NewQueries[*Server](queryRing), held: newHeldPackets(), metrics: newMetrics(),
 		fabric: netip.MustParseAddrPort(file.Fabric), peers: map[string]netip.AddrPort{},
 		watch: make(chan bool, 1),
 	}
