--- a/internal/operator/sparwrite/write_test.go
+++ b/internal/operator/sparwrite/write_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// set writes the document of the service booking of team kalkkirinne.
+func (p platform) set(t *testing.T, d sparconfig.Document) (revision uint64) {
+	t.Helper()
+	revision, err := p.kalk.Set(context.Background(), "booking", d, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
 func document(net int, spread float64) sparconfig.Document {
 	return sparconfig.Document{
 		Address: fmt.Sprintf("198.51.100.%d:443", net), Proto: "tcp", Spread: spread,
@@ -62,9 +72,7 @@
 func TestLostResponseIsReadBack(t *testing.T) {
 	ctx := context.Background()
 	p := newPlatform(t)
-	if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
-		t.Fatal(err)
-	}
+	p.set(t, document(1, 0.1))
 	p.store.SetFaults(sparstore.Faults{Lose: 1})
 	revision, err := p.kalk.Set(ctx, "booking", document(1, 0.2), 0)
 	if err != nil {
@@ -105,9 +113,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			ctx := context.Background()
 			p := newPlatform(t)
-			if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
-				t.Fatal(err)
-			}
+			p.set(t, document(1, 0.1))
 			w := p.kalk
 			w.Store = &lossyStore{Store: p.kalk.Store, after: func() {
 				for i := range c.writers {
@@ -131,10 +137,7 @@
 	const writers = 8
 	ctx := context.Background()
 	p := newPlatform(t)
-	first, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	first := p.set(t, document(1, 0.1))
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	winners := map[float64]uint64{}
@@ -177,9 +180,7 @@
 	})
 	t.Run("down after the write", func(t *testing.T) {
 		p := newPlatform(t)
-		if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
-			t.Fatal(err)
-		}
+		p.set(t, document(1, 0.1))
 		w := p.kalk
 		w.Store = &lossyStore{Store: p.kalk.Store, after: func() { p.store.SetFaults(sparstore.Faults{Down: true}) }}
 		_, err := w.Set(ctx, "booking", document(1, 0.2), 0)
@@ -188,18 +189,14 @@
 	t.Run("slow", func(t *testing.T) {
 		p := newPlatform(t)
 		p.store.SetFaults(sparstore.Faults{Slow: 50 * time.Millisecond})
-		if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
-			t.Fatal(err)
-		}
+		p.set(t, document(1, 0.1))
 	})
 }
 
 func TestClaims(t *testing.T) {
 	ctx := context.Background()
 	p := newPlatform(t)
-	if _, err := p.kalk.Set(ctx, "booking", document(1, 0), 0); err != nil {
-		t.Fatal(err)
-	}
+	p.set(t, document(1, 0))
 	d := document(2, 0)
 	d.Upstreams = document(1, 0).Upstreams
 	_, err := p.qant.Set(ctx, "gateway", d, 0)
@@ -230,14 +227,10 @@
 		return e.Revision
 	}
 	for _, d := range []sparconfig.Document{both, one} {
-		if _, err := p.kalk.Set(ctx, "booking", d, 0); err != nil {
-			t.Fatal(err)
-		}
+		p.set(t, d)
 	}
 	unused, used := revision(both.Upstreams[1].At), revision(both.Upstreams[0].At)
-	if _, err := p.kalk.Set(ctx, "booking", both, 0); err != nil {
-		t.Fatal(err)
-	}
+	p.set(t, both)
 	if now := revision(both.Upstreams[1].At); now == unused {
 		t.Errorf("the claim of the added address stays at revision %d", now)
 	}
@@ -249,9 +242,7 @@
 func TestDrainKeepsOtherChanges(t *testing.T) {
 	ctx := context.Background()
 	p := newPlatform(t)
-	if _, err := p.kalk.Set(ctx, "booking", document(1, 0.1), 0); err != nil {
-		t.Fatal(err)
-	}
+	p.set(t, document(1, 0.1))
 	w := p.kalk
 	w.Store = &lossyStore{Store: p.kalk.Store, after: func() {}}
 	now := time.Unix(1_800_000_000, 0)
