--- a/internal/operator/sparcli/evacuate.go
+++ b/internal/operator/sparcli/evacuate.go
@@ -24,6 +24,9 @@
 	if c.Wait && len(c.VMs) == 0 {
 		return exit{Invalid, errors.New("--wait needs --vm or OLEANDERSPAR_VMS")}
 	}
+	if err := checkVMs(c.VMs); c.Wait && err != nil {
+		return err
+	}
 	revision, err := c.write(ctx)
 	if err := reportWrite(out, revision, err); err != nil || !c.Wait {
 		return err
--- a/internal/operator/sparcli/read.go
+++ b/internal/operator/sparcli/read.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -46,6 +47,9 @@
 )
 
 func (c *statusCommand) run(ctx context.Context, out streams) (err error) {
+	if err := checkVMs(c.VMs); err != nil {
+		return err
+	}
 	report := sparstatus.Read(ctx, c.VMs)
 	fmt.Fprint(out.stdout, report.Text())
 	code := [...]int{sparstatus.OK: Done, sparstatus.Hold: Hold, sparstatus.Retry: Retry, sparstatus.Call: Call}[report.Word()]
@@ -56,6 +60,9 @@
 }
 
 func (c *timelineCommand) run(ctx context.Context, out streams) (err error) {
+	if err := checkVMs(c.VMs); err != nil {
+		return err
+	}
 	since := time.Now().Add(-c.Since)
 	t := sparevents.Read(ctx, c.VMs, since, c.Service)
 	if len(t.Answered) == 0 {
@@ -90,6 +97,17 @@
 	return nil
 }
 
+// checkVMs returns an error unless all control addresses have a port. Without one a command would find
+// that no VM answers, and a script would ask again for ever.
+func checkVMs(controls []string) error {
+	for _, control := range controls {
+		if _, port, err := net.SplitHostPort(control); err != nil || port == "" {
+			return exit{Invalid, errors.Errorf("--vm or OLEANDERSPAR_VMS: %q, expected an address and port such as 10.0.0.1:7081", control)}
+		}
+	}
+	return nil
+}
+
 func formatEvent(e spartimeline.Event, asJSON bool) string {
 	if asJSON {
 		text, err := json.Marshal(jsonEvent{
