sparprobe: verdicts on upstreams that are gone, by asking other VMs

Cause: after a crash, requests on open flows wait for the removal of the upstream's entry, since one VM can't tell a crash from a cut. Nothing uses it yet.

--- /dev/null
+++ b/internal/route/sparprobe/ask.go
@@ -0,0 +1,165 @@
+package sparprobe
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+type (
+	// Asker asks other VMs about upstreams and holds the verdicts. Create it with NewAsker.
+	Asker struct {
+		self    VM
+		run     uint32
+		most    int
+		vms     []VM // others, in rendezvous order
+		domains map[string]string
+		number  uint32
+		rounds  map[uint64]*round // under way, by mark
+		began   map[uint64]time.Duration
+		gone    map[uint64]verdict
+	}
+
+	// round is what is known about one upstream since it was asked about.
+	round struct {
+		number   uint32
+		upstream Upstream
+		since    time.Duration // it has answered nobody here
+		began    time.Duration
+		asked    []VM
+		said     map[string]bool // by name of the VM, whether it finds the upstream silent
+		tried    bool            // this VM has tried to connect itself
+		reached  bool            // and it did
+	}
+
+	// verdict is that an upstream is gone.
+	verdict struct {
+		upstream Upstream
+		since    time.Duration // the round that found it began
+		until    time.Duration
+	}
+)
+
+// NewAsker returns the asker of a VM that asks at most so many others, 0 for none. run differs in
+// each run of the VM.
+func NewAsker(self VM, run uint32, most int) *Asker {
+	return &Asker{
+		self: self, run: run, most: min(most, MaxVMs), domains: map[string]string{},
+		rounds: map[uint64]*round{}, began: map[uint64]time.Duration{}, gone: map[uint64]verdict{},
+	}
+}
+
+// SetVMs replaces the VMs that may be asked.
+func (a *Asker) SetVMs(vms []VM) {
+	a.vms = ranked(a.self.Name, vms)
+	clear(a.domains)
+	for _, vm := range a.vms {
+		a.domains[vm.Name] = vm.Domain
+	}
+}
+
+// Begin begins rounds about suspects and returns the questions to send.
+func (a *Asker) Begin(now time.Duration, suspects []Suspect) []Addressed {
+	if a.most == 0 || len(a.vms) == 0 {
+		return nil
+	}
+	a.number++
+	questions, silence := map[string][]uint64{}, time.Duration(0)
+	for _, s := range suspects {
+		mark := s.Mark()
+		if began, ok := a.began[mark]; ok && now-began < roundInterval {
+			continue
+		}
+		r := &round{number: a.number, upstream: s.Upstream, since: s.Since, began: now, asked: a.pick(s.Domain), said: map[string]bool{}}
+		a.rounds[mark], a.began[mark] = r, now
+		for _, vm := range r.asked {
+			if len(questions[vm.Name]) < MaxMarks {
+				questions[vm.Name] = append(questions[vm.Name], mark)
+			}
+		}
+		silence = max(silence, now-s.Since)
+	}
+	return a.address(questions, min(silence, MaxSilence))
+}
+
+// Renew does the same for upstreams that are gone, if their verdict ends soon and they still have
+// flows.
+func (a *Asker) Renew(now time.Duration, look Look) []Addressed {
+	var list []Suspect
+	for mark, v := range a.gone {
+		u, ok := look(mark)
+		if ok && u.Flows > 0 && v.until-now < renewBefore {
+			list = append(list, Suspect{Upstream: u, Since: v.since})
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b Suspect) int { return cmp.Compare(a.ID, b.ID) })
+	return a.Begin(now, list)
+}
+
+// address returns the questions in the order in which this VM asks.
+func (a *Asker) address(questions map[string][]uint64, silence time.Duration) (list []Addressed) {
+	for _, vm := range a.vms {
+		if marks := questions[vm.Name]; len(marks) > 0 {
+			q := Question{From: a.self.Name, Run: a.run, Round: a.number, Silence: silence, Marks: marks}
+			list = append(list, Addressed{To: vm.Name, Question: q})
+		}
+	}
+	return list
+}
+
+// Wanted returns the upstreams of rounds to which a connection is to be opened now.
+func (a *Asker) Wanted(now time.Duration, c *Connections) (list []Upstream) {
+	for mark, r := range a.rounds {
+		if now-r.began < ConnectTimeout {
+			if _, known := c.Result(now, mark); !known && c.Begin(now, mark) {
+				list = append(list, r.upstream)
+			}
+		}
+	}
+	return list
+}
+
+// Receive takes in the answer of another VM.
+func (a *Asker) Receive(now time.Duration, answer Answer) error {
+	if _, ok := a.domains[answer.From]; !ok {
+		return UnknownVM
+	}
+	if answer.Run != a.run || answer.Round > a.number {
+		return NotAsked
+	}
+	late := false
+	note := func(mark uint64, silent bool) bool {
+		r := a.rounds[mark]
+		if r == nil || r.number != answer.Round || now-r.began > RoundTime {
+			late = true
+			return true
+		}
+		if !slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == answer.From }) {
+			return false
+		}
+		before, said := r.said[answer.From]
+		r.said[answer.From] = silent && (before || !said) // alive stays alive
+		return true
+	}
+	for _, mark := range answer.Silent {
+		if !note(mark, true) {
+			return NotAsked
+		}
+	}
+	for _, mark := range answer.Alive {
+		if !note(mark, false) {
+			return NotAsked
+		}
+	}
+	if late {
+		return Late
+	}
+	return nil
+}
+
+// Cancel ends all rounds under way without a verdict: this VM was paused, and responses may be
+// waiting that it has not read.
+func (a *Asker) Cancel() { clear(a.rounds) }
