--- a/internal/peer/sparcontrol/codec.go
+++ b/internal/peer/sparcontrol/codec.go
@@ -15,8 +15,8 @@
 
 type (
 	// Input is a decoded datagram. It is a sealed interface: Report, Message,
-	// ReceivedNotification, ReceivedReceipt, ReceivedQuery, ReceivedDeparture or
-	// ReceivedEvidence.
+	// ReceivedNotification, ReceivedReceipt, ReceivedQuery, ReceivedDeparture,
+	// ReceivedEvidence, ReceivedProbe or ReceivedProbeAnswer.
 	Input interface {
 		input()
 	}
@@ -114,6 +114,10 @@
 		return decodeDeparture(body.Departure)
 	case *Datagram_Evidence:
 		return decodeEvidence(body.Evidence)
+	case *Datagram_Probe:
+		return decodeProbe(body.Probe)
+	case *Datagram_ProbeAnswer:
+		return decodeProbeAnswer(body.ProbeAnswer)
 	}
 	return nil, errors.New("no body")
 }
