sparcookie, sparentry: end flows at upstreams that are gone

A retransmitted request whose upstream answers nobody here begins a round (sparprobe). While the upstream is gone, packets with data on its flows are answered with a reset, and it takes no new flows. Where an entry is removed and the upstream has been silent for 2 s, the first packet of a request goes through two other VMs, so that mayReset allows a reset at the first retransmission.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -220,7 +220,7 @@
 // send their flows to the same upstream once it answers.
 func (e *Engine) nextProbe(d *domainState, upstreams []*upstream) (next *upstream) {
 	for _, u := range upstreams {
-		if u.domain != d || !u.unproven() || !e.takesFlows(u) || e.outOfQuota(u) || e.leftToHolders(u) {
+		if u.domain != d || !u.unproven() || !e.takesFlows(u) || e.gone(u) || e.outOfQuota(u) || e.leftToHolders(u) {
 			continue
 		}
 		if next == nil || e.probedBefore(u, next) {
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -63,6 +63,8 @@
 		pressed   bool
 		loadAt    time.Duration // last count of the requests under way
 		probeSeed int           // of this VM, in the ranking of upstreams to probe
+		marks     map[uint64]*upstream
+		suspects  []*upstream // for the next Suspects
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -103,8 +105,10 @@
 		rate            decayingCount // requests over rateSpan
 		abandoned       decayingCount // requests that clients gave up unanswered, over abandonedSpan
 		lastResponse    time.Duration // last sign that a client received a packet from it
+		aliveAt         time.Duration // last time at which it is known to have run
 		pendingSince    time.Duration // first SYN sent since lastResponse, 0 if there is none
 		unansweredFlows int           // flows with an unanswered retransmission since lastResponse
+		silentFlows     int           // retransmissions without a response since aliveAt
 		health          sparhealth.Health
 		lastSYN         time.Duration
 		races           lostRaces
@@ -119,6 +123,7 @@
 		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
+		death           goneState
 	}
 )
 
@@ -130,6 +135,7 @@
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
 		domains: map[string]*domainState{}, services: map[string]*serviceState{},
+		marks: map[uint64]*upstream{},
 	}
 }
 
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -46,6 +46,7 @@
 	// observation is what one packet of a client shows.
 	observation struct {
 		answered, first, retransmitted, abandoned bool
+		requested                                 bool // it is the first packet of a request
 		waited                                    time.Duration
 	}
 
@@ -71,6 +72,7 @@
 		e.recordOpeningTime(obs.waited)
 		e.noteOpened(f.upstream)
 		e.noteProgress(f)
+		f.upstream.noteAlive(f.began)
 	}
 	if seqAfter(s.Ack, f.ack) {
 		f.ack = s.Ack
@@ -79,6 +81,11 @@
 			obs.waited = e.now - f.requestedAt
 		}
 		e.noteResponse(f)
+		if s.Size > 0 {
+			f.upstream.noteAlive(f.requestedAt)
+		} else {
+			f.upstream.noteAlive(e.now)
+		}
 		f.requestedAt = 0
 		e.noteProgress(f)
 	}
@@ -87,6 +94,7 @@
 	}
 	if end := s.Seq + uint32(s.Size); seqAfter(end, f.nextSeq) {
 		f.nextSeq = end
+		obs.requested = f.requestedAt == 0
 		e.noteRequest(f)
 		return obs
 	}
@@ -95,6 +103,8 @@
 		e.noteOverdue(f)
 		if f.upstream.lastResponse <= f.requestedAt {
 			e.noteUnanswered(f.upstream, f)
+			f.upstream.silentFlows++
+			e.noteSuspect(f)
 		}
 	}
 	return obs // before minRetransmitAge it is a reordered packet
@@ -134,9 +144,18 @@
 	u := f.upstream
 	e.noteAnswer(u)
 	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
+	u.death.until = 0
 	e.noteReturn(u, u.health.Answered(e.now))
 }
 
+// noteAlive records that u was running at a time. An acknowledgement that comes with data tells when
+// the request before arrived, and not when the response did: clients may send it much later.
+func (u *upstream) noteAlive(at time.Duration) {
+	if at > u.aliveAt {
+		u.aliveAt, u.silentFlows = at, 0
+	}
+}
+
 // noteUnanswered records that u has not answered a packet of f and no other client has
 // received a response from u meanwhile. Each flow counts once until u responds again.
 func (e *Engine) noteUnanswered(u *upstream, f *flow) {
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 )
 
 const (
@@ -80,7 +82,7 @@
 	u := f.upstream
 	f.lastSeen = e.now
 	e.noteCopy(f)
-	if u.evacuated || e.outOfQuota(u) {
+	if u.evacuated || e.gone(u) || e.outOfQuota(u) {
 		return e.moveSYN(rec, key, f)
 	}
 	if e.now-f.lastProgress < minRetransmitAge || u.lastResponse > f.lastProgress {
@@ -91,11 +93,11 @@
 }
 
 // moveSYN sends a retransmitted SYN to another upstream than that of its record. If no other one
-// takes it, it goes to the same one, unless that was evacuated meanwhile.
+// takes it, it goes to the same one, unless that was evacuated meanwhile or is gone.
 func (e *Engine) moveSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	other := e.choose(rec, key, u)
-	if other == nil && u.evacuated {
+	if other == nil && (u.evacuated || e.gone(u)) {
 		e.forget(key)
 		return e.reset(NoUpstream, nil)
 	}
@@ -134,6 +136,11 @@
 	if !rec.live {
 		return e.forwardUnrouted(key, u)
 	}
+	if e.resetsGone(u, f, s) {
+		e.forget(key)
+		e.stats.GoneResets++
+		return e.reset(UpstreamGone, u)
+	}
 	obs := e.observe(f, s)
 	e.noteWaited(rec, f, s, obs)
 	if s.Kind == FIN || s.Kind == RST {
@@ -146,13 +153,15 @@
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
-	v := Verdict{}
-	if via := e.pickRelay(f, s, obs); via != 0 {
-		v = e.send(Assisted, u)
-		v.Relay = via
-	} else {
-		v = e.send(Carried, u)
+	cause, via, second := Carried, e.pickRelay(f, s, obs), sparflow.Endpoint(0)
+	if via != 0 {
+		cause = Assisted
+	}
+	if via != 0 && obs.requested && e.probablyDead(u) {
+		second = e.pickSecondRelay(f, s, obs, via)
 	}
+	v := e.send(cause, u)
+	v.Relay, v.Second = via, second
 	v.Answered, v.First, v.Unanswered, v.Abandoned, v.Waited = obs.answered, obs.first, obs.retransmitted, obs.abandoned, obs.waited
 	return v
 }
--- /dev/null
+++ b/internal/route/sparcookie/gone.go
@@ -0,0 +1,104 @@
+package sparcookie
+
+import (
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
+)
+
+// goneState is what is known of the death of an upstream.
+type goneState struct {
+	until     time.Duration // end of the verdict that it is gone
+	since     time.Duration // the round that found it began
+	suspect   bool          // in Engine.suspects
+	askedFor  time.Duration // arrival of the request without a response
+	changedAt time.Duration // last change of its entry
+}
+
+// gone reports whether other VMs have confirmed that u is dead.
+func (e *Engine) gone(u *upstream) bool { return e.now < u.death.until }
+
+// noteSuspect records that the pending request of f was retransmitted and that u has answered no client
+// of this VM since it came. A VM that was just paused may not have read the responses. An
+// upstream that drains is about to stop, and mayReset knows what to do with its flows.
+func (e *Engine) noteSuspect(f *flow) {
+	u := f.upstream
+	if f.requestedAt == 0 || u.Draining || e.now-e.pausedAt < catchUpTime {
+		return
+	}
+	u.death.askedFor = max(u.death.askedFor, f.requestedAt)
+	if !u.death.suspect {
+		u.death.suspect = true
+		e.suspects = append(e.suspects, u)
+	}
+}
+
+// Suspects returns the upstreams that have left a request without a response since the last
+// call, and have answered no client of this VM meanwhile.
+func (e *Engine) Suspects() (list []sparprobe.Suspect) {
+	for _, u := range e.suspects {
+		u.death.suspect = false
+		if e.upstreams[u.ID] == u && u.lastResponse <= u.death.askedFor && !e.gone(u) && !e.JustPaused() {
+			list = append(list, sparprobe.Suspect{Upstream: e.describe(u), Since: u.death.askedFor})
+		}
+	}
+	e.suspects = e.suspects[:0]
+	return list
+}
+
+// JustPaused reports whether this VM was paused so recently that responses may be waiting that it has
+// not read.
+func (e *Engine) JustPaused() bool { return e.now-e.pausedAt < catchUpTime }
+
+// Look returns what this VM knows of the upstream with a mark: one in the roster, or one removed
+// lately.
+func (e *Engine) Look(mark uint64) (d sparprobe.Upstream, ok bool) {
+	u := e.marks[mark]
+	if u == nil {
+		return sparprobe.Upstream{}, false
+	}
+	return e.describe(u), true
+}
+
+func (e *Engine) describe(u *upstream) sparprobe.Upstream {
+	return sparprobe.Upstream{
+		ID: u.ID, Born: u.Born, Service: u.Service, Domain: u.Domain, At: u.At, Flows: u.flows,
+		Answered: u.lastResponse, Changed: u.death.changedAt,
+	}
+}
+
+// indexMarks updates the index of upstreams by mark.
+func (e *Engine) indexMarks() {
+	clear(e.marks)
+	for _, u := range e.upstreams {
+		e.marks[sparprobe.Upstream{ID: u.ID, Born: u.Born}.Mark()] = u
+	}
+}
+
+// SetGone puts a verdict on an upstream in force, or ends it.
+func (e *Engine) SetGone(o sparprobe.Outcome) {
+	u := e.marks[o.Mark()]
+	if u == nil {
+		return
+	}
+	switch o.Kind {
+	case sparprobe.Gone, sparprobe.Confirmed:
+		u.death.until = o.Until
+		u.death.since = e.now - o.Age
+	case sparprobe.Back:
+		u.death.until = 0
+	}
+}
+
+// resetsGone reports whether a packet of f is answered with a reset because u is gone. Not, if it
+// shows a sign of life: that u has accepted the flow, or answered a request, that came after it was found
+// silent. A packet without data is left to observe.
+func (e *Engine) resetsGone(u *upstream, f *flow, s Segment) bool {
+	if !e.gone(u) || s.Kind != Data || s.Size == 0 {
+		return false
+	}
+	if !f.opened {
+		return f.began <= u.death.since
+	}
+	return !(seqAfter(s.Ack, f.ack) && f.requestedAt > u.death.since)
+}
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -142,7 +142,7 @@
 // tierOf returns the tier of u.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
-	case !e.takesFlows(u), e.outOfQuota(u):
+	case !e.takesFlows(u), e.outOfQuota(u), e.gone(u):
 		return tierNone
 	case !u.health.AcceptsFlows(), e.leftToHolders(u), e.avoided(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
 		return tierUnhealthy
--- a/internal/route/sparcookie/relay.go
+++ b/internal/route/sparcookie/relay.go
@@ -1,6 +1,8 @@
 package sparcookie
 
 import (
+	"time"
+
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
@@ -11,6 +13,10 @@
 // another VM.
 const unresponsiveFlows = 2
 
+// deadSilence is how long an upstream that was removed has to have been silent until the first packet of
+// a request goes through other VMs: several times the age at which a request is overdue.
+const deadSilence = 2 * time.Second
+
 // relay is another VM, which may reach an upstream that this VM cannot reach.
 type relay struct {
 	rankID uint64 // hash of the name, for rendezvous hashing
@@ -24,7 +30,7 @@
 // Each retransmission takes the next VM, those of the failure domain of the upstream first.
 func (e *Engine) pickRelay(f *flow, s Segment, obs observation) sparflow.Endpoint {
 	u := f.upstream
-	if s.Size == 0 || !e.unresponsive(u) && !(obs.retransmitted && u.lastResponse <= f.requestedAt) {
+	if s.Size == 0 || !e.unresponsive(u) && !(obs.retransmitted && u.lastResponse <= f.requestedAt) && !(obs.requested && e.probablyDead(u)) {
 		return 0
 	}
 	var candidates, all []relay
@@ -56,6 +62,23 @@
 	return u.unansweredFlows >= unresponsiveFlows && u.pendingSince > 0 && e.now-u.pendingSince >= minRetransmitAge
 }
 
+// probablyDead reports whether u is no longer in the roster, has left a request without a response and
+// shown no sign of life here for longer than a slow upstream takes to answer. Then the first packet of a request goes through other VMs
+// too, so that relaysBeforeReset of them have sent it before its first retransmission.
+func (e *Engine) probablyDead(u *upstream) bool {
+	return u.removed && !u.Draining && u.silentFlows > 0 && e.now-u.aliveAt >= deadSilence
+}
+
+// pickSecondRelay returns another VM than first through which the packet is also sent, or 0.
+func (e *Engine) pickSecondRelay(f *flow, s Segment, obs observation, first sparflow.Endpoint) sparflow.Endpoint {
+	second := e.pickRelay(f, s, obs)
+	if second == first {
+		f.relayCopies--
+		return 0
+	}
+	return second
+}
+
 // forwardRelayed returns the verdict on a packet received from another VM. The packet does
 // not update flow records, since the other VM sees the responses to it.
 func (e *Engine) forwardRelayed(s Segment) Verdict {
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -14,6 +14,9 @@
 		if u.Draining != entry.Draining || u.removed || u.unusable {
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
+		if u.Upstream != entry || u.removed || u.unusable {
+			u.death.changedAt, u.death.until = e.now, 0
+		}
 		if u.removed || u.unusable {
 			u.weight = 1 // the evidence ended with its entry
 		}
@@ -35,6 +38,7 @@
 			e.emit(UpstreamRemoved{Upstream: u.Upstream})
 		}
 	}
+	e.indexMarks()
 	e.countUsable()
 	e.forgetServices()
 }
@@ -94,6 +98,7 @@
 		}
 	}
 	if deleted {
+		e.indexMarks()
 		e.assignCookies()
 	}
 }
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -78,6 +78,7 @@
 		At     sparflow.Endpoint
 		Cookie Cookie
 		Relay  sparflow.Endpoint // with Assisted, the VM to send a copy to
+		Second sparflow.Endpoint // with Assisted, another such VM, or 0
 		Silent time.Duration     // since the last response of the upstream to any client of this VM
 
 		Answered   bool          // the packet acknowledges a response
@@ -133,6 +134,8 @@
 		Abandoned uint64 // requests that clients gave up unanswered
 		Suspected uint64 // times that a failure domain was suspect as a whole
 
+		GoneResets uint64 // packets answered with a reset since their upstream is gone
+
 		WarmOpenings uint64 // sent to upstreams whose openings are limited
 		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
 	}
--- a/internal/route/sparprobe/connections.go
+++ b/internal/route/sparprobe/connections.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxConnections bounds the connections under way.
-	maxConnections = 32
+	// MaxConnections bounds the connections under way.
+	MaxConnections = 32
 	// shareTime is how long the result of a connection serves other questions.
 	shareTime = 200 * time.Millisecond
 )
@@ -27,7 +27,7 @@
 // Begin reports whether a connection to the upstream is to be opened now: there is no recent one
 // and the bound is not reached. Done has to be called for each one opened.
 func (c *Connections) Begin(now time.Duration, mark uint64) bool {
-	if r, ok := c.results[mark]; ok && (!r.done || now-r.began < shareTime) || c.underWay >= maxConnections {
+	if r, ok := c.results[mark]; ok && (!r.done || now-r.began < shareTime) || c.underWay >= MaxConnections {
 		return false
 	}
 	if c.results == nil {
@@ -54,6 +54,14 @@
 	c.results[mark] = result{began: r.began, done: true, reached: reached}
 }
 
+// Drop takes back a connection that could not be begun.
+func (c *Connections) Drop(mark uint64) {
+	if r, ok := c.results[mark]; ok && !r.done {
+		c.underWay--
+		delete(c.results, mark)
+	}
+}
+
 // Result returns the result of a connection begun lately, if it is known.
 func (c *Connections) Result(now time.Duration, mark uint64) (reached, known bool) {
 	r := c.results[mark]
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -42,6 +42,7 @@
 		Overage  Figure   `json:"overage,omitempty"`  // how many times its own limit an upstream may get while it warms up; cookie
 		Slack    Figure   `json:"slack,omitempty"`    // requests that it may get beyond that; cookie
 		Hedge    Figure   `json:"hedge,omitempty"`    // share of openings that may be sent to a second upstream; cookie
+		Probe    Figure   `json:"probe,omitempty"`    // VMs asked whether an upstream that is silent is gone, 0 for none; cookie
 		CPU      Figure   `json:"cpu,omitempty"`      // share of each core that this VM may use; cookie
 		Cores    Figure   `json:"cores,omitempty"`    // processor cores of this VM; cookie
 		Link     Figure   `json:"link,omitempty"`     // megabits per second of its link; cookie
@@ -68,6 +69,7 @@
 		Evacuate time.Duration // within which an evacuation must be in force everywhere
 		Warm     WarmLimit
 		Hedge    float64 // share of openings that may be sent to a second upstream, 0 for none
+		Probe    int     // VMs asked whether an upstream that is silent is gone, 0 for none
 		Capacity Capacity
 	}
 
@@ -126,6 +128,7 @@
 	maxOverage   = 1_000_000
 	maxSlack     = 1_000_000 // requests
 	maxHedge     = 0.1       // of openings; more would load upstreams that are short of slots
+	maxProbe     = 16        // VMs; more would take the control messages of a large deployment beyond their bound
 	maxCores     = 4096
 	maxLink      = 10_000_000 // megabits per second
 )
@@ -139,7 +142,7 @@
 		return CookieCarrier{
 			Ready: f.Ready, Force: f.Force.duration(time.Millisecond), Grace: f.Grace.duration(time.Second),
 			Beat: f.Beat.duration(time.Millisecond), Evacuate: f.Evacuate.duration(time.Millisecond),
-			Warm: WarmLimit{Overage: float64(f.Overage), Slack: float64(f.Slack)}, Hedge: float64(f.Hedge),
+			Warm: WarmLimit{Overage: float64(f.Overage), Slack: float64(f.Slack)}, Hedge: float64(f.Hedge), Probe: int(f.Probe),
 			Capacity: Capacity{Cores: float64(f.CPU * f.Cores), Link: float64(f.Link)},
 		}
 	}
--- a/internal/settings/sparconfig/vmcheck.go
+++ b/internal/settings/sparconfig/vmcheck.go
@@ -54,8 +54,8 @@
 	if f.Ready != "" || f.Force != 0 || f.Grace != 0 || f.Beat != 0 {
 		return errors.Errorf("ready, force, grace, beat: expected only with the carrier %s", Cookie)
 	}
-	if f.Evacuate != 0 || f.Overage != 0 || f.Slack != 0 || f.Hedge != 0 || f.CPU != 0 || f.Cores != 0 || f.Link != 0 {
-		return errors.Errorf("evacuate, overage, slack, hedge, cpu, cores, link: expected only with the carrier %s", Cookie)
+	if f.Evacuate != 0 || f.Overage != 0 || f.Slack != 0 || f.Hedge != 0 || f.Probe != 0 || f.CPU != 0 || f.Cores != 0 || f.Link != 0 {
+		return errors.Errorf("evacuate, overage, slack, hedge, probe, cpu, cores, link: expected only with the carrier %s", Cookie)
 	}
 	if err := checkAddress(f.Fabric); err != nil {
 		return errors.Annotate(err, "fabric")
@@ -91,7 +91,7 @@
 		unit        string
 	}{
 		{"overage", f.Overage, maxOverage, "times"}, {"slack", f.Slack, maxSlack, "requests"},
-		{"hedge", f.Hedge, maxHedge, "of openings"}, {"cpu", f.CPU, maxCores, "of a core"},
+		{"hedge", f.Hedge, maxHedge, "of openings"}, {"probe", f.Probe, maxProbe, "VMs"}, {"cpu", f.CPU, maxCores, "of a core"},
 		{"cores", f.Cores, maxCores, "cores"}, {"link", f.Link, maxLink, "megabits per second"},
 	} {
 		if err := field.value.check(field.name, 0, field.most, field.unit); err != nil {
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -9,7 +9,8 @@
 //	readControl ──inputs──▶   │  ◀──queries── twirp handlers
 //	platformReader inputs─▶   ├───reads───▶ platformReader
 //	platformWriter inputs─▶   ├───writes──▶ platformWriter
-//	puller ───────inputs──▶   └───pulls───▶ puller
+//	puller ───────inputs──▶   ├───pulls───▶ puller
+//	connector ────inputs──▶   └──connects─▶ connector
 //
 //	vm, err := sparentry.New(file, store, log)
 //	err = vm.Run(ctx, reload) // returns after ctx ends and the VM has left the fabric
@@ -34,6 +35,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/member/sparsync"
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/thread/sparring"
@@ -108,16 +110,17 @@
 		probe      net.Listener
 		port       uint16 // of clients, for packets sent back to them
 
-		packets *sparring.Ring[*packet]
-		inputs  *sparring.Ring[input]
-		queries *sparring.Queries[*VM]
-		pulls   *sparring.Ring[pull]
-		reads   *sparring.Ring[readRequest]
-		writes  *sparring.Ring[write]
-		buffers sync.Pool
-		ready   atomic.Bool
-		left    chan struct{} // closed once sparleave reports that the VM has left
-		drained chan struct{} // closed once accepted control requests have ended, or after drainTimeout
+		packets  *sparring.Ring[*packet]
+		inputs   *sparring.Ring[input]
+		queries  *sparring.Queries[*VM]
+		pulls    *sparring.Ring[pull]
+		connects *sparring.Ring[sparprobe.Upstream]
+		reads    *sparring.Ring[readRequest]
+		writes   *sparring.Ring[write]
+		buffers  sync.Pool
+		ready    atomic.Bool
+		left     chan struct{} // closed once sparleave reports that the VM has left
+		drained  chan struct{} // closed once accepted control requests have ended, or after drainTimeout
 
 		began        time.Time
 		tickedAt     time.Duration // since began
@@ -139,6 +142,7 @@
 		leave        sparleave.Leave
 		hedges       *hedger // nil if openings are not hedged
 		reporter     *reporter
+		prober       *prober
 	}
 )
 
@@ -163,6 +167,7 @@
 		timeline: spartimeline.NewRing(spartimeline.DefaultSize), metrics: newMetrics(),
 		reachable: true, left: make(chan struct{}), drained: make(chan struct{}),
 		hedges: newHedger(carrier.Hedge), reporter: newReporter(file.Name),
+		prober: newProber(file.VM(), carrier.Probe), connects: sparring.New[sparprobe.Upstream](connectRing),
 	}
 	vm.setWarmLimit()
 	vm.buffers.New = func() any { return new(packet) }
@@ -202,6 +207,7 @@
 	group.Go(vm.platformReader)
 	group.Go(vm.platformWriter)
 	group.Go(vm.puller)
+	group.Go(vm.connector)
 	group.Go(vm.serveControl)
 	group.Go(vm.serveProbes)
 	group.Go(func(workers context.Context) error {
@@ -303,6 +309,7 @@
 	vm.register(now)
 	vm.coordinateLeave(now)
 	vm.shareEvidence(now)
+	vm.probeUpstreams()
 	vm.logState(state)
 	vm.logEvents()
 	vm.metrics.publish(vm)
--- a/internal/vm/sparentry/log.go
+++ b/internal/vm/sparentry/log.go
@@ -37,6 +37,9 @@
 	case sparcookie.Carried, sparcookie.Assisted:
 		if v.Relay != 0 {
 			fields["through"] = v.Relay.String()
+			if v.Second != 0 {
+				fields["and_through"] = v.Second.String()
+			}
 		}
 		vm.log.WithFields(fields).Info("data repeated")
 	case sparcookie.Placed:
@@ -313,7 +316,7 @@
 	vm.log.WithFields(logrus.Fields{
 		"data": vm.file.Data, "control": vm.file.Control, "ready": vm.carrier.Ready, "platform": vm.file.Platform,
 		"domain": vm.file.Domain, "force_ms": vm.carrier.Force.Milliseconds(), "grace_s": vm.carrier.Grace.Seconds(),
-		"class": vm.file.VM().Size, "hedge": vm.carrier.Hedge,
+		"class": vm.file.VM().Size, "hedge": vm.carrier.Hedge, "probe": vm.carrier.Probe,
 	}).Info("start")
 	vm.addEvent("started", "", "", 0)
 }
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -53,6 +53,7 @@
 	m.publishHedges(vm.engine.HedgeStats())
 	m.publishAdmission(vm.engine)
 	vm.reporter.publish(m)
+	vm.prober.publish(m)
 	for cause, n := range m.badPackets {
 		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
 	}
@@ -90,6 +91,7 @@
 	m.count("warm_openings", stats.WarmOpenings)
 	m.count("warm_refusals", stats.WarmRefusals)
 	m.count("suspect_domains", stats.Suspected)
+	m.count("gone_resets", stats.GoneResets)
 }
 
 // count publishes a counter by its total.
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -89,6 +89,9 @@
 		if v.Relay != 0 {
 			platform.MarkRelayed(p.bytes())
 			vm.send(p.bytes(), v.Relay)
+			if v.Second != 0 {
+				vm.send(p.bytes(), v.Second)
+			}
 		}
 		platform.SetUpstream(p.buffer[:], v.ID, v.Cookie)
 		vm.send(p.buffer[:platform.TagBytes+p.size], v.At)
--- /dev/null
+++ b/internal/vm/sparentry/probe.go
@@ -0,0 +1,245 @@
+package sparentry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
+	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+)
+
+const (
+	// probeBytes bounds what a VM sends in a second to ask about upstreams and to answer.
+	probeBytes = 2048
+	// connectRing is the number of upstreams that may wait for a connection. sparprobe bounds those
+	// under way.
+	connectRing = 64
+)
+
+type (
+	// prober finds out with other VMs whether upstreams are gone. Use newProber.
+	prober struct {
+		asker       *sparprobe.Asker
+		answerer    sparprobe.Answerer
+		connections sparprobe.Connections
+		budget      sparevidence.Budget
+		vms         map[string]sparconfig.VM // others, by name
+		refused     map[string]int64
+		refusedAt   time.Duration // last line about a refused message
+		stats       proberStats
+	}
+
+	proberStats struct {
+		sent, answers, unsent, connections uint64
+		outcomes                           [sparprobe.Back + 1]uint64
+	}
+
+	// connected is the outcome of a connection to an upstream.
+	connected struct {
+		mark    uint64
+		reached bool
+	}
+)
+
+func (connected) input() {}
+
+func newProber(self sparconfig.VM, most int) *prober {
+	return &prober{
+		asker: sparprobe.NewAsker(sparprobe.VM{Name: self.Name, Domain: self.Domain}, rand.Uint32(), most), refused: map[string]int64{},
+		budget: sparevidence.Budget{PerSecond: probeBytes},
+	}
+}
+
+// setVMs replaces the VMs that may be asked.
+func (p *prober) setVMs(self string, vms []sparconfig.VM) {
+	p.vms = map[string]sparconfig.VM{}
+	var list []sparprobe.VM
+	for _, vm := range vms {
+		list = append(list, sparprobe.VM{Name: vm.Name, Domain: vm.Domain})
+		if vm.Name != self {
+			p.vms[vm.Name] = vm
+		}
+	}
+	p.asker.SetVMs(list)
+}
+
+// probeUpstreams begins and ends the rounds that are due. The VM says and concludes nothing while it
+// may have responses to read.
+func (vm *VM) probeUpstreams() {
+	p, now := vm.prober, vm.tickedAt
+	suspects := vm.engine.Suspects()
+	if vm.engine.JustPaused() {
+		p.asker.Cancel()
+		p.answerer.Cancel()
+		return
+	}
+	vm.askVMs(p.asker.Renew(now, vm.engine.Look), now)
+	if len(suspects) > 0 {
+		vm.askVMs(p.asker.Begin(now, suspects), now)
+	}
+	vm.connectAll(p.asker.Wanted(now, &p.connections))
+	for _, o := range p.asker.Evaluate(now, &p.connections, vm.engine.Look) {
+		vm.engine.SetGone(o)
+		p.stats.outcomes[o.Kind]++
+		vm.logOutcome(o)
+	}
+	vm.answerProbes(now)
+}
+
+// askVMs sends questions, as far as the budget allows.
+func (vm *VM) askVMs(questions []sparprobe.Addressed, now time.Duration) {
+	for _, q := range questions {
+		if vm.sendProbe(q.To, sparcontrol.EncodeProbe(q.Question), now) {
+			vm.prober.stats.sent++
+		}
+	}
+}
+
+// answerProbes sends the answers that are complete.
+func (vm *VM) answerProbes(now time.Duration) {
+	p := vm.prober
+	for _, a := range p.answerer.Due(now, vm.file.Name, &p.connections, vm.engine.Look) {
+		if vm.sendProbe(a.To, sparcontrol.EncodeProbeAnswer(a.Answer), now) {
+			p.stats.answers++
+		}
+	}
+}
+
+func (vm *VM) sendProbe(to string, b []byte, now time.Duration) (sent bool) {
+	other, ok := vm.prober.vms[to]
+	if !ok || !vm.prober.budget.Take(now, len(b)) {
+		vm.prober.stats.unsent++
+		return false
+	}
+	vm.sendControl(other, b)
+	return true
+}
+
+// receiveProbe takes in the question of another VM.
+func (vm *VM) receiveProbe(q sparprobe.Question) {
+	p, now := vm.prober, time.Since(vm.began)
+	if _, ok := p.vms[q.From]; !ok {
+		vm.refuseProbe(q.From, sparprobe.UnknownVM, now)
+		return
+	}
+	if vm.engine.JustPaused() || now-vm.tickedAt > lateTick {
+		return
+	}
+	vm.connectAll(p.answerer.Ask(now, q, &p.connections, vm.engine.Look))
+	vm.answerProbes(now)
+}
+
+// receiveProbeAnswer takes in the answer of another VM.
+func (vm *VM) receiveProbeAnswer(a sparprobe.Answer) {
+	now := time.Since(vm.began)
+	if err := vm.prober.asker.Receive(now, a); err != nil {
+		vm.refuseProbe(a.From, err, now)
+	}
+}
+
+// connectionDone takes in the outcome of a connection. A question may be answered now.
+func (vm *VM) connectionDone(c connected) {
+	now := time.Since(vm.began)
+	vm.prober.connections.Done(now, c.mark, c.reached)
+	if !vm.engine.JustPaused() && now-vm.tickedAt <= lateTick {
+		vm.answerProbes(now)
+	}
+}
+
+func (vm *VM) connectAll(upstreams []sparprobe.Upstream) {
+	for _, u := range upstreams {
+		vm.prober.stats.connections++
+		if !vm.connects.Put(u) {
+			vm.prober.connections.Drop(u.Mark())
+		}
+	}
+}
+
+// connector opens connections to upstreams and closes them at once, until ctx ends.
+func (vm *VM) connector(ctx context.Context) error {
+	workers := pool.New().WithMaxGoroutines(sparprobe.MaxConnections)
+	defer workers.Wait()
+	for {
+		select {
+		case u := <-vm.connects.Out():
+			workers.Go(func() { vm.post(ctx, connected{mark: u.Mark(), reached: reaches(ctx, u.At)}) })
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reaches reports whether a connection to an address opens in time.
+func reaches(ctx context.Context, at sparflow.Endpoint) bool {
+	ip := at.IP()
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)}), at.Port())
+	dialer := net.Dialer{Timeout: sparprobe.ConnectTimeout, KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
+// refuseProbe counts and logs a message that does not count.
+func (vm *VM) refuseProbe(from string, err error, now time.Duration) {
+	p := vm.prober
+	p.refused[err.Error()]++
+	if p.refusedAt > 0 && now-p.refusedAt < refusedReportEvery {
+		return
+	}
+	p.refusedAt = now
+	vm.log.WithFields(logrus.Fields{"from": from, "cause": err.Error()}).Warn("probe refused")
+}
+
+// logOutcome logs the end of a round, and an upstream that is gone or back.
+func (vm *VM) logOutcome(o sparprobe.Outcome) {
+	fields := logrus.Fields{
+		"upstream": fmt.Sprintf("%x", o.ID), "at": o.At.String(), "service": o.Service, "domain": o.Domain, "verdict": o.Kind.String(), "round_ms": o.Age.Milliseconds(),
+	}
+	if o.Asked > 0 {
+		own := "unknown"
+		if o.Tried {
+			own = map[bool]string{true: "alive", false: "silent"}[o.Reached]
+		}
+		fields["asked"], fields["silent"], fields["alive"], fields["own"] = o.Asked, o.Silent, o.Alive, own
+		fields["silent_ms"] = (vm.tickedAt - o.Answered).Milliseconds()
+	}
+	vm.log.WithFields(fields).Info("probe round")
+	switch o.Kind {
+	case sparprobe.Gone:
+		vm.log.WithFields(fields).Warn("upstream gone")
+		vm.addEvent("upstream gone", o.Service, fmt.Sprintf("%x", o.ID), o.Silent)
+	case sparprobe.Back:
+		vm.log.WithFields(fields).Warn("upstream no longer gone")
+		vm.addEvent("upstream no longer gone", o.Service, fmt.Sprintf("%x", o.ID), o.Alive)
+	}
+}
+
+// publish updates the metrics of the prober.
+func (p *prober) publish(m *metrics) {
+	for cause, n := range p.refused {
+		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_probes").Inc(n)
+	}
+	clear(p.refused)
+	m.count("sent_probes", p.stats.sent)
+	m.count("answered_probes", p.stats.answers)
+	m.count("unsent_probes", p.stats.unsent)
+	m.count("probe_connections", p.stats.connections)
+	m.count("undecided_probes", p.stats.outcomes[sparprobe.Undecided])
+	m.count("gone_verdicts", p.stats.outcomes[sparprobe.Gone])
+	m.count("confirmed_verdicts", p.stats.outcomes[sparprobe.Confirmed])
+	m.count("ended_verdicts", p.stats.outcomes[sparprobe.Back])
+	m.set.Scope.Gauge("gone_upstreams").Update(float64(p.asker.Under()))
+}
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -49,6 +49,7 @@
 	if !slices.Equal(roster.VMs, r.vms) {
 		r.vms = roster.VMs
 		vm.setPeers(roster.VMs)
+		vm.prober.setVMs(vm.file.Name, roster.VMs)
 	}
 	same := slices.EqualFunc(roster.Upstreams, r.upstreams, func(u sparroster.Upstream, b sparevidence.Upstream) bool {
 		return u.ID == b.ID && u.Born == b.Born && u.Service == b.Service
--- a/internal/vm/sparentry/settings.go
+++ b/internal/vm/sparentry/settings.go
@@ -76,6 +76,8 @@
 		vm.sync.Served(in.to, in.large, in.digest, in.whole)
 	case wrote:
 		vm.writeDone(in)
+	case connected:
+		vm.connectionDone(in)
 	}
 	vm.logState(state)
 	vm.logEvents()
@@ -93,6 +95,10 @@
 		vm.leave.Received(d.Departure, now)
 	case sparcontrol.ReceivedEvidence:
 		vm.receiveReport(d.Report, now)
+	case sparcontrol.ReceivedProbe:
+		vm.receiveProbe(d.Question)
+	case sparcontrol.ReceivedProbeAnswer:
+		vm.receiveProbeAnswer(d.Answer)
 	case sparcontrol.ReceivedReceipt:
 		vm.sync.Confirmed(d.From, d.Timing, now)
 	default:
