sparcookie: flows end where a crashed upstream's address has a new owner

Now such a flow ends at its next packet with data. Ruled out: doing so while the entry still stands.

--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 )
 
 // goneState is what is known of the death of an upstream.
 type goneState struct {
 	until     time.Duration // end of the verdict that it is gone
+	replaced  bool          // its entry was removed, and a later start has registered with its address
 	since     time.Duration // the round that found it began
 	suspect   bool          // in Engine.suspects
 	askedFor  time.Duration // arrival of the request without a response
@@ -18,6 +20,20 @@
 // gone reports whether other VMs have confirmed that u is dead.
 func (e *Engine) gone(u *upstream) bool { return e.now < u.death.until }
 
+// noteReplaced finds the upstreams that are no longer in the roster and whose address belongs to one that
+// started later: they have ended, since two can't listen there.
+func (e *Engine) noteReplaced() {
+	latest := map[sparflow.Endpoint]int64{}
+	for _, u := range e.upstreams {
+		if !u.removed {
+			latest[u.At] = max(latest[u.At], u.Born)
+		}
+	}
+	for _, u := range e.upstreams {
+		u.death.replaced = u.removed && u.Born > 0 && latest[u.At] > u.Born
+	}
+}
+
 // noteSuspect records that the pending request of f was retransmitted and that u has answered no client
 // of this VM since it came. A VM that was just paused may not have read the responses. An
 // upstream that drains is about to stop, and mayReset knows what to do with its flows.
@@ -38,7 +54,7 @@
 func (e *Engine) Suspects() (list []sparprobe.Suspect) {
 	for _, u := range e.suspects {
 		u.death.suspect = false
-		if e.upstreams[u.ID] == u && u.lastResponse <= u.death.askedFor && !e.gone(u) && !e.JustPaused() {
+		if e.upstreams[u.ID] == u && u.lastResponse <= u.death.askedFor && !e.gone(u) && !u.death.replaced && !e.JustPaused() {
 			list = append(list, sparprobe.Suspect{Upstream: e.describe(u), Since: u.death.askedFor})
 		}
 	}
@@ -94,9 +110,12 @@
 // shows a sign of life: that u has accepted the flow, or answered a request, that came after it was found
 // silent. A packet without data is left to observe.
 func (e *Engine) resetsGone(u *upstream, f *flow, s Segment) bool {
-	if !e.gone(u) || s.Kind != Data || s.Size == 0 {
+	if s.Kind != Data || s.Size == 0 || !e.gone(u) && !u.death.replaced {
 		return false
 	}
+	if u.death.replaced {
+		return true
+	}
 	if !f.opened {
 		return f.began <= u.death.since
 	}
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -38,6 +38,7 @@
 			e.emit(UpstreamRemoved{Upstream: u.Upstream})
 		}
 	}
+	e.noteReplaced()
 	e.indexMarks()
 	e.countUsable()
 	e.forgetServices()
