--- a/internal/route/sparprobe/ask.go
+++ b/internal/route/sparprobe/ask.go
@@ -12,8 +12,9 @@
 		self    VM
 		run     uint32
 		most    int
-		vms     []VM // others, in rendezvous order
-		domains map[string]string
+		vms     []VM              // others, in rendezvous order
+		domains map[string]string // of these VMs, by name
+		picked  map[string][]VM   // to ask about an upstream, by its failure domain
 		number  uint32
 		rounds  map[uint64]*round // under way, by mark
 		began   map[uint64]time.Duration
@@ -44,7 +45,7 @@
 // each run of the VM.
 func NewAsker(self VM, run uint32, most int) *Asker {
 	return &Asker{
-		self: self, run: run, most: min(most, MaxVMs), domains: map[string]string{},
+		self: self, run: run, most: min(most, MaxVMs), domains: map[string]string{}, picked: map[string][]VM{},
 		rounds: map[uint64]*round{}, began: map[uint64]time.Duration{}, gone: map[uint64]verdict{},
 	}
 }
@@ -53,6 +54,7 @@
 func (a *Asker) SetVMs(vms []VM) {
 	a.vms = ranked(a.self.Name, vms)
 	clear(a.domains)
+	clear(a.picked)
 	for _, vm := range a.vms {
 		a.domains[vm.Name] = vm.Domain
 	}
--- a/internal/route/sparprobe/gone_test.go
+++ b/internal/route/sparprobe/gone_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("%d VMs asked again before 500 ms", len(again))
 	}
 }
+
+// TestSmallSettings asks a VM of the upstream's failure domain whatever the number of VMs to ask.
+func TestSmallSettings(t *testing.T) {
+	vms := []sparprobe.VM{{Name: "vm-1", Domain: "north"}, {Name: "vm-2", Domain: "north"}, {Name: "vm-3", Domain: "south"}}
+	for most := 1; most <= 3; most++ {
+		a := sparprobe.NewAsker(vms[0], 1, most)
+		a.SetVMs(vms)
+		questions := a.Begin(time.Minute, []sparprobe.Suspect{{Upstream: sparprobe.Upstream{ID: 1, Domain: "north"}, Since: time.Minute}})
+		near := 0
+		for _, q := range questions {
+			if q.To == "vm-2" {
+				near++
+			}
+		}
+		if near != 1 || len(questions) != min(most, 2) {
+			t.Errorf("%d to ask: %d questions, %d to the failure domain", most, len(questions), near)
+		}
+	}
+}
--- a/internal/route/sparprobe/pick.go
+++ b/internal/route/sparprobe/pick.go
@@ -11,6 +11,9 @@
 // are of that domain, the others are of each other domain in turn. Each VM has an order of its
 // own, the same for all upstreams of a domain, so that one datagram can ask about several.
 func (a *Asker) pick(domain string) (list []VM) {
+	if list, ok := a.picked[domain]; ok {
+		return list
+	}
 	var near, far []VM
 	for _, vm := range a.vms { // in rendezvous order
 		if vm.Domain == domain {
@@ -20,8 +23,10 @@
 		}
 	}
 	far = inTurn(far)
-	first := min(len(near), max(int(nearShare*float64(a.most)), a.most-len(far)), a.most)
-	return append(near[:first:first], far[:min(len(far), a.most-first)]...)
+	first := min(len(near), max(1, int(nearShare*float64(a.most)), a.most-len(far)), a.most)
+	list = append(near[:first:first], far[:min(len(far), a.most-first)]...)
+	a.picked[domain] = list
+	return list
 }
 
 // inTurn orders VMs so that their failure domains take turns.
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -98,13 +98,8 @@
 // enough reports whether enough VMs find an upstream silent, none of which reaches it. The VMs of
 // its failure domain have to be among them: a cut between domains leaves it reachable there.
 func (a *Asker) enough(o Outcome, near int) bool {
-	listed := 0
-	for _, domain := range a.domains {
-		if domain == o.Domain {
-			listed++
-		}
-	}
-	witnessed := near > 0 || listed == 0 && a.self.Domain == o.Domain
+	asksNear := slices.ContainsFunc(a.pick(o.Domain), func(vm VM) bool { return vm.Domain == o.Domain })
+	witnessed := near > 0 || !asksNear && a.self.Domain == o.Domain
 	return witnessed && o.Silent >= min(leastWitnesses, max(len(a.vms), 1)) && 2*o.Silent >= o.Asked
 }
 
