sparcookie: clients that wait at an upstream that is gone are told

The upstream had acknowledged them before it crashed, so their clients send no copies: nothing begins a round, and nothing is there to be answered with a reset. Now a request that is overdue begins a round as well, unless slots are short, and a verdict resets the flows whose clients wait.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -64,7 +64,8 @@
 		loadAt    time.Duration // last count of the requests under way
 		probeSeed int           // of this VM, in the ranking of upstreams to probe
 		marks     map[uint64]*upstream
-		suspects  []*upstream // for the next Suspects
+		suspects  []*upstream      // for the next Suspects
+		waiting   []waitingRequest // not yet overdue, oldest first
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -183,6 +184,7 @@
 // probe the upstream, and deletes expired records.
 func (e *Engine) Tick() {
 	e.checkOpenings()
+	e.checkWaiting()
 	for _, u := range e.upstreams {
 		if !u.removed && u.health.Tick(e.now, 0) {
 			u.pendingSince = 0 // only the SYN of the probe counts from here on
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -114,6 +114,7 @@
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
+		e.watch(f)
 		e.chargeRequest(f)
 		e.beginPending(f)
 		f.upstream.recent.add(e.now, recentSpan)
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// noteSuspect records that the pending request of f was retransmitted and that u has answered no client
-// of this VM since it came. A VM that was just paused may not have read the responses. An
+// noteSuspect records that the pending request of f was retransmitted or is overdue and that u has answered
+// no client of this VM since it came. A VM that was just paused may not have read the responses. An
 // upstream that drains is about to stop, and mayReset knows what to do with its flows.
 func (e *Engine) noteSuspect(f *flow) {
 	u := f.upstream
--- a/internal/vm/sparentry/probe.go
+++ b/internal/vm/sparentry/probe.go
@@ -16,6 +16,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
+	"github.com/oleanderspar/oleanderspar/platform"
 )
 
 const (
@@ -90,12 +91,22 @@
 	vm.connectAll(p.asker.Wanted(now, &p.connections))
 	for _, o := range p.asker.Evaluate(now, &p.connections, vm.engine.Look) {
 		vm.engine.SetGone(o)
+		vm.endWaiting(o)
 		p.stats.outcomes[o.Kind]++
 		vm.logOutcome(o)
 	}
 	vm.answerProbes(now)
 }
 
+// endWaiting resets the flows at an upstream that is gone whose clients wait.
+func (vm *VM) endWaiting(o sparprobe.Outcome) {
+	var b [platform.HeaderBytes]byte
+	for _, ended := range vm.engine.EndWaiting(o) {
+		vm.send(platform.Reset(b[:], ended.Segment), sparflow.MakeEndpoint(ended.From.IP(), vm.port))
+		vm.logVerdict(ended.Segment, ended.Verdict)
+	}
+}
+
 // askVMs sends questions, as far as the budget allows.
 func (vm *VM) askVMs(questions []sparprobe.Addressed, now time.Duration) {
 	for _, q := range questions {
