sparcookie: a new owner of an address ends flows before the old entry is removed

Now a flow at such an upstream is reset at its first retransmission, if nothing has shown since that the upstream runs. Ruled out: a reset without a retransmission while the entry stands (TestQuotaIsUsed: its fixture gives several upstreams one address; left as it is).

--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -167,12 +167,15 @@
 }
 
 // mayReset reports whether a flow with unanswered retransmissions may be reset: its
-// upstream is not in the roster and answers no client of this VM. An upstream that drained
+// upstream is not in the roster or its address has a new owner, and it answers no client of this VM. An upstream that drained
 // before its removal has stopped as planned, and one that had crashed has crashed for others too.
 // Otherwise its entry may have expired while it is still running, so other VMs are tried first.
 func (e *Engine) mayReset(u *upstream, f *flow) bool {
 	silent := e.now-max(f.lastProgress, u.lastResponse) >= minRetransmitAge
-	return u.removed && silent && (u.Draining || e.crashed(u) || f.relayCopies >= relaysBeforeReset)
+	if !silent {
+		return false
+	}
+	return u.replaced() || u.removed && (u.Draining || e.crashed(u) || f.relayCopies >= relaysBeforeReset)
 }
 
 // crashed reports whether the VMs of its own failure domain, this one among them, had ejected u when
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -9,19 +9,19 @@
 
 // goneState is what is known of the death of an upstream.
 type goneState struct {
-	until     time.Duration // end of the verdict that it is gone
-	replaced  bool          // its entry was removed, and a later start has registered with its address
-	since     time.Duration // the round that found it began
-	suspect   bool          // in Engine.suspects
-	askedFor  time.Duration // arrival of the request without a response
-	changedAt time.Duration // last change of its entry
+	until      time.Duration // end of the verdict that it is gone
+	since      time.Duration // the round that found it began
+	replacedAt time.Duration // when this VM learnt that its address belongs to a later start, or 0
+	suspect    bool          // in Engine.suspects
+	askedFor   time.Duration // arrival of the request without a response
+	changedAt  time.Duration // last change of its entry
 }
 
 // gone reports whether other VMs have confirmed that u is dead.
 func (e *Engine) gone(u *upstream) bool { return e.now < u.death.until }
 
-// noteReplaced finds the upstreams that are no longer in the roster and whose address belongs to one that
-// started later: they have ended, since two can't listen there.
+// noteReplaced finds the upstreams whose address belongs to one that started later: they have ended, since
+// two can't listen there.
 func (e *Engine) noteReplaced() {
 	latest := map[sparflow.Endpoint]int64{}
 	for _, u := range e.upstreams {
@@ -30,10 +30,20 @@
 		}
 	}
 	for _, u := range e.upstreams {
-		u.death.replaced = u.removed && u.Born > 0 && latest[u.At] > u.Born
+		if u.Born == 0 || latest[u.At] <= u.Born {
+			u.death.replacedAt = 0
+		} else if u.death.replacedAt == 0 {
+			u.death.replacedAt = e.now
+		}
 	}
 }
 
+// replaced reports whether the address of u belongs to a later start, and its own entry was removed, or
+// nothing has shown that it runs since this VM learnt of the later start.
+func (u *upstream) replaced() bool {
+	return u.death.replacedAt > 0 && (u.removed || u.aliveAt <= u.death.replacedAt)
+}
+
 // noteSuspect records that the pending request of f was retransmitted or is overdue and that u has answered
 // no client of this VM since it came. A VM that was just paused may not have read the responses. An
 // upstream that drains is about to stop, and mayReset knows what to do with its flows.
@@ -54,7 +64,7 @@
 func (e *Engine) Suspects() (list []sparprobe.Suspect) {
 	for _, u := range e.suspects {
 		u.death.suspect = false
-		if e.upstreams[u.ID] == u && u.lastResponse <= u.death.askedFor && !e.gone(u) && !u.death.replaced && !e.JustPaused() {
+		if e.upstreams[u.ID] == u && u.lastResponse <= u.death.askedFor && !e.gone(u) && !u.replaced() && !e.JustPaused() {
 			list = append(list, sparprobe.Suspect{Upstream: e.describe(u), Since: u.death.askedFor})
 		}
 	}
@@ -110,12 +120,15 @@
 // shows a sign of life: that u has accepted the flow, or answered a request, that came after it was found
 // silent. A packet without data is left to observe.
 func (e *Engine) resetsGone(u *upstream, f *flow, s Segment) bool {
-	if s.Kind != Data || s.Size == 0 || !e.gone(u) && !u.death.replaced {
+	if s.Kind != Data || s.Size == 0 {
 		return false
 	}
-	if u.death.replaced {
+	if u.removed && u.replaced() {
 		return true
 	}
+	if !e.gone(u) {
+		return false
+	}
 	if !f.opened {
 		return f.began <= u.death.since
 	}
--- a/internal/route/sparcookie/gone_test.go
+++ b/internal/route/sparcookie/gone_test.go
@@ -223,24 +223,27 @@
 	}
 }
 
-// TestReplacedUpstream covers the flows of a crashed upstream whose address another one gets: connections to it
-// succeed, and its flows end at once once its entry is removed. An earlier start at its address says nothing.
+// TestReplacedUpstream covers the flows of a crashed upstream whose address another one gets, so that connections
+// to it succeed. Its flows end at once once its entry is removed, and until then at the first retransmission.
 func TestReplacedUpstream(t *testing.T) {
 	tests := []struct {
-		name   string
-		born   int64
-		remove bool
-		action sparcookie.Action
+		name      string
+		born      int64
+		remove    bool
+		answers   bool          // it answers another client after the later start was listed
+		age       time.Duration // of the request
+		wantReset bool
 	}{
-		{"a later start, entry removed", 99, true, sparcookie.Reset},
-		{"a later start, entry stands", 99, false, sparcookie.ToUpstream},
-		{"an earlier start, entry removed", 0, true, sparcookie.ToUpstream},
+		{"entry removed", 99, true, false, 20 * time.Millisecond, true},
+		{"entry stands, a reordered packet", 99, false, false, 20 * time.Millisecond, false},
+		{"entry stands, a retransmission", 99, false, false, retransmitAfter, true},
+		{"entry stands, it answers", 99, false, true, 2 * retransmitAfter, false},
+		{"an earlier start, entry removed", 0, true, false, retransmitAfter, false},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t)
-			waiting := f.flowAt(1)
-			f.wait(retransmitAfter / 2)
+			other, waiting := f.flowAt(1), f.flowAt(1)
 			next := newUpstream(9, "north")
 			next.At, next.Born, next.Service = f.upstreams[0].At, c.born, receipts
 			f.upstreams = append(f.upstreams, next)
@@ -248,8 +251,14 @@
 				f.remove(1)
 			}
 			f.apply()
-			if v := waiting.request(); v.Action != c.action {
-				t.Errorf("%v %v, want %v", v.Action, v.Cause, c.action)
+			f.wait(c.age / 2)
+			if c.answers {
+				other.ackResponse()
+			}
+			f.wait(c.age / 2)
+			v := waiting.request()
+			if got := v.Action == sparcookie.Reset; got != c.wantReset {
+				t.Errorf("%v %v, want a reset: %t", v.Action, v.Cause, c.wantReset)
 			}
 		})
 	}
