--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -118,7 +118,8 @@
 
 // resetsGone reports whether a packet of f is answered with a reset because u is gone. Not, if it
 // shows a sign of life: that u has accepted the flow, or answered a request, that came after it was found
-// silent. A packet without data is left to observe.
+// silent. A packet without data is left to observe. After a pause, a sign
+// of life may be waiting.
 func (e *Engine) resetsGone(u *upstream, f *flow, s Segment) bool {
 	if s.Kind != Data || s.Size == 0 {
 		return false
@@ -126,7 +127,7 @@
 	if u.removed && u.replaced() {
 		return true
 	}
-	if !e.gone(u) {
+	if !e.gone(u) || e.JustPaused() {
 		return false
 	}
 	if !f.opened {
