--- a/internal/settings/sparconfig/carrier.go
+++ b/internal/settings/sparconfig/carrier.go
@@ -24,6 +24,7 @@
 		Evacuate time.Duration // within which an evacuation must be in force everywhere
 		Warm     WarmLimit
 		Hedge    float64 // share of openings that may be sent to a second upstream, 0 for none
+		Probe    int     // VMs asked whether an upstream that is silent is gone, 0 for none
 		Capacity Capacity
 	}
 
--- a/internal/vm/sparentry/logpacket.go
+++ b/internal/vm/sparentry/logpacket.go
@@ -27,6 +27,9 @@
 	case sparcookie.Carried, sparcookie.Assisted:
 		if v.Relay != 0 {
 			fields["through"] = v.Relay.String()
+			if v.Second != 0 {
+				fields["and_through"] = v.Second.String()
+			}
 		}
 		vm.log.WithFields(fields).Info("data repeated")
 	case sparcookie.Placed:
--- a/internal/vm/sparentry/loop.go
+++ b/internal/vm/sparentry/loop.go
@@ -94,6 +94,7 @@
 	vm.register(now)
 	vm.coordinateLeave(now)
 	vm.shareEvidence(now)
+	vm.probeUpstreams()
 	vm.logState(state)
 	vm.logEvents()
 	vm.metrics.publish(vm)
