sparcookie: each upstream of the warm-up model has an address of its own

The fixture read its counter when the entry was written, so upstreams that started in between shared an address, which no site allows.

--- a/internal/route/sparcookie/warm_site_test.go
+++ b/internal/route/sparcookie/warm_site_test.go
@@ -93,11 +93,11 @@
 // startUpstream starts an upstream that warms up for the time, and lists it a little later.
 func (s *warmSite) startUpstream(domain string, warm time.Duration) {
 	s.nextID++
-	id, from := s.nextID*0x9E3779B97F4A7C15>>16, s.now
+	id, from, at := s.nextID*0x9E3779B97F4A7C15>>16, s.now, sparflow.MakeEndpoint(0x0a000000+uint32(s.nextID), 8080)
 	s.warm[id] = &warmServer{from: from, until: from + warm}
 	s.after(time.Duration(s.rng.IntN(300))*time.Millisecond, func() {
 		u := newUpstream(id, domain)
-		u.At, u.Warm = sparflow.MakeEndpoint(0x0a000000+uint32(s.nextID), 8080), max(0, from+warm-s.now)
+		u.At, u.Warm = at, max(0, from+warm-s.now)
 		s.put(fmt.Sprint(sparroster.UpstreamPrefix, id), u)
 	})
 }
