sparevidence: progress of a response is a sign of life

Cause: only openings and requests were observed. A VM whose clients receive a long response saw nothing of its upstream after the first acknowledgement, so two VMs that had lost the upstream ejected it here as well, and nobody told them that it lives. Found by reading.

Ruled out: counting progress as an answered request. It would lower the usual response time of the service, which is waited time over answers, and hide the failures of other requests behind one download.

Change: an acknowledgement that advances without a pending request marks the upstream; the board takes it as the time of an answer, names it to others where there is evidence about the upstream, and leaves all counts as they are. The counts still ease an upstream that takes no SYN.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -116,6 +116,7 @@
 		underWay        int                 // requests under way of flows on record
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
+		progressed      bool                // a response went on since the last Observations
 		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -75,8 +75,8 @@
 // Observations returns what this VM has seen of upstreams and services since the last call.
 func (e *Engine) Observations() (o sparevidence.Observations) {
 	for _, u := range e.observed {
-		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen})
-		u.seen, u.isObserved = sparevidence.Counts{}, false
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen, Progressed: u.progressed})
+		u.seen, u.isObserved, u.progressed = sparevidence.Counts{}, false, false
 	}
 	e.observed = e.observed[:0]
 	counted := e.countLoad()
@@ -133,13 +133,17 @@
 // noteUnopened counts a SYN without an answer in time.
 func (e *Engine) noteUnopened(u *upstream) { e.seenOf(u).Unanswered++ }
 
-// noteResponse counts the response to the pending request of f, if there is one.
+// noteResponse counts the response to the pending request of f. If there is none, a response that
+// has counted goes on.
 func (e *Engine) noteResponse(f *flow) {
+	u := f.upstream
 	if f.requestedAt == 0 {
+		e.seenOf(u)
+		u.progressed = true
 		return
 	}
 	e.endPending(f)
-	u, waited := f.upstream, e.now-f.requestedAt
+	waited := e.now - f.requestedAt
 	counts, s := e.seenOf(u), u.service
 	counts.Answered++
 	s.waited += waited
--- a/internal/route/sparcookie/observe_test.go
+++ b/internal/route/sparcookie/observe_test.go
@@ -110,6 +110,44 @@
 	}
 }
 
+// TestProgressIsObserved covers a response that goes on after its first packet: the upstream takes no
+// new flows here, and is alive.
+func TestProgressIsObserved(t *testing.T) {
+	f := newFixture(t)
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.ackHandshake()
+	c.request()
+	c.ackResponse()
+	f.engine.Observations()
+	if got := f.engine.Observations().Upstreams; len(got) > 0 {
+		t.Errorf("%+v while nothing happens", got)
+	}
+	for range 3 {
+		c.s.Ack += 1200
+		f.forward(c.s)
+	}
+	want := sparevidence.Observation{ID: c.upstream, Progressed: true}
+	if got := f.engine.Observations().Upstreams; len(got) != 1 || got[0] != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// TestProgressAllocatesNothing acknowledges the packets of a response one by one.
+func TestProgressAllocatesNothing(t *testing.T) {
+	f := newFixture(t)
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.ackHandshake()
+	n := testing.AllocsPerRun(1000, func() {
+		c.s.Ack += 1200
+		f.engine.Forward(c.s)
+	})
+	if n != 0 {
+		t.Errorf("%v allocations for the progress of a response", n)
+	}
+}
+
 // TestPressed checks when the load is worth telling: 4 VMs share 10 slots, and three requests at
 // once take a part of each 200 ms.
 func TestPressed(t *testing.T) {
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -29,7 +29,7 @@
 	record struct {
 		tally
 		openedAt     time.Duration // last opening that was answered
-		answeredAt   time.Duration // last request that was answered
+		answeredAt   time.Duration // last request that was answered, or last progress of a response
 		failedAt     time.Duration // last failure
 		failingSince time.Duration // first failure since the last answered request, or 0
 	}
@@ -106,7 +106,7 @@
 	b.notePause(now)
 	for _, obs := range o.Upstreams {
 		if u, ok := b.upstreams[obs.ID]; ok {
-			b.observeUpstream(now, u, obs.Counts)
+			b.observeUpstream(now, u, obs)
 		}
 	}
 	for _, obs := range o.Services {
@@ -116,8 +116,8 @@
 	}
 }
 
-func (b *Board) observeUpstream(now time.Duration, u Upstream, c Counts) {
-	r := b.own[u.ID]
+func (b *Board) observeUpstream(now time.Duration, u Upstream, obs Observation) {
+	r, c := b.own[u.ID], obs.Counts
 	if r == nil {
 		r = &record{}
 		b.own[u.ID] = r
@@ -128,14 +128,12 @@
 	if c.Opened > 0 {
 		r.openedAt = now
 	}
-	if c.Answered > 0 {
-		r.answeredAt, r.failingSince = now, 0
-		b.noteAnswers(u.ID, c.Answered)
-		b.urgent = b.urgent || b.answersWanted(u.ID) // others may be about to eject it
+	if c.Answered > 0 || obs.Progressed {
+		b.noteAnswers(now, u.ID, c.Answered)
 	}
 	if c.Failures() > 0 {
 		r.failedAt = now
-		if r.failingSince == 0 && c.Answered == 0 {
+		if r.failingSince == 0 && r.answeredAt != now {
 			r.failingSince = now
 		}
 		b.subject(u.ID, now).ownFailure = now
@@ -147,6 +145,16 @@
 	}
 }
 
+// noteAnswers notes a sign that an upstream answers, and n answered requests.
+func (b *Board) noteAnswers(now time.Duration, id uint64, n float64) {
+	r := b.own[id]
+	r.answeredAt, r.failingSince = now, 0
+	if s := b.subjects[id]; s != nil {
+		s.answers += n
+	}
+	b.urgent = b.urgent || b.answersWanted(id) // others may be about to eject it
+}
+
 func (b *Board) observeService(now time.Duration, obs ServiceObservation) {
 	s := b.service(obs.Service)
 	s.waited = s.waited.with(now, Counts{Answered: obs.Waited.Seconds()})
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -107,13 +107,11 @@
 // reported that it did.
 func (b *Board) worthNaming(id uint64, r *record, now time.Duration) bool {
 	c := r.value(now)
-	if c.samples() < leastCount {
-		return false
-	}
-	if bad(c) {
+	seen := c.samples() >= leastCount
+	if seen && bad(c) {
 		return true
 	}
-	return b.subjects[id] != nil && r.at > b.named[id]
+	return b.subjects[id] != nil && (seen && r.at > b.named[id] || r.answeredAt > b.named[id])
 }
 
 // bad reports whether counts are worth telling by themselves.
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -60,8 +60,9 @@
 
 	// Observation is what a VM has seen of an upstream since the last one.
 	Observation struct {
-		ID     uint64
-		Counts Counts
+		ID         uint64
+		Counts     Counts
+		Progressed bool // a response that is under way went on
 	}
 
 	// ServiceObservation is what a VM has seen of a service since the last one.
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -105,13 +105,6 @@
 	return s != nil && (s.doubted || s.ejectedUntil > 0 || s.trialSince > 0)
 }
 
-// noteAnswers notes answered requests of an upstream.
-func (b *Board) noteAnswers(id uint64, n float64) {
-	if s := b.subjects[id]; s != nil {
-		s.answers += n
-	}
-}
-
 // Evaluate returns the weights that have changed since the last call.
 func (b *Board) Evaluate(now time.Duration) (changes []Change) {
 	b.notePause(now)
