sparcookie: each service has its own probe of a suspect failure domain

Cause: a suspect failure domain had one probe a second for all of its services. A busy service with upstreams that stay silent took it each time, and a quiet one went to other domains for as long, though its upstreams might be back. Found by reading.

Ruled out: more probes a second for all, since each unanswered one delays a client by 200 ms, and the busy service would still take nearly all of them.

Change: the last probe is kept by service. A domain with n services costs n SYNs a second at most instead of one.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -12,7 +12,7 @@
 	// SYNs unanswered before the whole domain is suspect.
 	suspectUpstreams = 3
 	// domainProbeInterval is the time after an unanswered probe of a suspect domain until the
-	// next one. Each of them delays a client.
+	// next one for the same service. Each of them delays a client.
 	domainProbeInterval = time.Second
 	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
 	recoveryLimit = 10 * time.Second
@@ -31,13 +31,18 @@
 	// domainState is what this VM sees of a failure domain and its upstreams of all services.
 	domainState struct {
 		name         string
-		usable       int           // upstreams that take new flows
-		lastResponse time.Duration // of any upstream
-		silent       int           // upstreams that left a SYN unanswered since lastResponse
-		suspectSince time.Duration // 0 while the domain is not suspect
-		answered     int           // upstreams that have answered since suspectSince
-		probe        *upstream     // probed last, or nil
-		probedAt     time.Duration
+		usable       int                    // upstreams that take new flows
+		lastResponse time.Duration          // of any upstream
+		silent       int                    // upstreams that left a SYN unanswered since lastResponse
+		suspectSince time.Duration          // 0 while the domain is not suspect
+		answered     int                    // upstreams that have answered since suspectSince
+		probes       map[string]domainProbe // last ones since suspectSince, by service
+	}
+
+	// domainProbe is a SYN that probes a suspect failure domain for a service.
+	domainProbe struct {
+		upstream *upstream
+		at       time.Duration
 	}
 
 	// opening is a SYN whose response is not yet due.
@@ -127,7 +132,7 @@
 	u.silentAt = e.now
 	d.silent++
 	if d.silent >= suspectUpstreams && (d.suspectSince == 0 || d.answered > 0) {
-		d.suspectSince, d.answered, d.probe, d.probedAt = e.now, 0, nil, e.now
+		d.suspectSince, d.answered, d.probes = e.now, 0, map[string]domainProbe{}
 		e.stats.Suspected++
 		e.emit(DomainChanged{Domain: d.name, Suspect: true, Upstreams: d.usable, Silent: e.now - d.lastResponse})
 	}
@@ -144,7 +149,7 @@
 	d.lastResponse, d.silent = e.now, 0
 	if d.suspectSince > 0 && d.recovered(e.now) {
 		e.emit(DomainChanged{Domain: d.name, Upstreams: d.answered, Silent: e.now - d.suspectSince})
-		d.suspectSince, d.probe = 0, nil
+		d.suspectSince, d.probes = 0, nil
 	}
 }
 
@@ -175,23 +180,32 @@
 	return true
 }
 
-// probeDue reports whether a SYN may probe d: the last probe was answered, or it is long ago.
-func (d *domainState) probeDue(now time.Duration) bool {
+// probeDue reports whether a SYN of a service may probe d: its last probe was answered, or it is long
+// ago.
+func (d *domainState) probeDue(service string, now time.Duration) bool {
 	if d.suspectSince == 0 {
 		return false
 	}
-	return d.probe != nil && !d.probe.unproven() || now-d.probedAt >= domainProbeInterval
+	last, ok := d.probes[service]
+	if !ok {
+		return now-d.suspectSince >= domainProbeInterval
+	}
+	return !last.upstream.unproven() || now-last.at >= domainProbeInterval
 }
 
-// pickProbe returns an upstream among those given to probe a suspect failure domain, or nil. A
+// pickProbe returns an upstream among those of a service to probe a suspect failure domain, or nil. A
 // domain's upstreams take turns.
 func (e *Engine) pickProbe(domains []*domainState, upstreams []*upstream) *upstream {
+	if len(upstreams) == 0 {
+		return nil
+	}
+	service := upstreams[0].Service
 	for _, d := range domains {
-		if !d.probeDue(e.now) {
+		if !d.probeDue(service, e.now) {
 			continue
 		}
 		if u := e.nextProbe(d, upstreams); u != nil {
-			d.probe, d.probedAt = u, e.now
+			d.probes[service] = domainProbe{upstream: u, at: e.now}
 			return u
 		}
 	}
@@ -202,7 +216,7 @@
 // not used for probes, since their client has waited already.
 func (e *Engine) probeOwn(p *pool, exclude *upstream) *upstream {
 	if exclude != nil || len(p.local) == 0 {
-		return nil
+		return nil // the first of the domains is another one
 	}
 	return e.pickProbe(p.domains[:1], p.local)
 }
--- /dev/null
+++ b/internal/route/sparcookie/probe_test.go
@@ -0,0 +1,31 @@
+package sparcookie_test
+
+import (
+	"testing"
+	"time"
+)
+
+// TestProbesOfTwoServices covers a failure domain with two services that fails as a whole, while one of
+// them gets many new flows and the other one a flow each 1.5 s: the quiet one probes its own upstreams.
+func TestProbesOfTwoServices(t *testing.T) {
+	f := newDomains(t, "north", "east")
+	for i := range f.upstreams {
+		if f.upstreams[i].ID%10 == 0 {
+			f.upstreams[i].Service = receipts
+		}
+	}
+	f.apply()
+	f.serve(2*time.Second, only("north"))
+	waited := 0
+	for waited = 0; waited < 8; waited++ {
+		f.serve(1500*time.Millisecond, only("north")) // of the busy service
+		c := f.newClient(receiptsAddr)
+		if c.open(); f.domainOf(c.upstream) == "north" {
+			break
+		}
+		c.finish()
+	}
+	if waited > 1 {
+		t.Errorf("%d flows of the quiet service went to the other domain before one probed its own", waited)
+	}
+}
