sparevidence: failures of a removed upstream leave the counts of its service

Cause: the counts of a service decay over 5 s and kept the failures of upstreams that were removed, or that had recovered. Upstreams are compared with those counts, and from a fifth of failures on none is ejected, so two upstreams that failed and went let a third one pass as usual for some seconds.

Ruled out: taking out the answers as well. The usual response time is the waited time of the service over its answers, and the former is not kept by upstream.

Change: the failures and slow answers of an upstream are taken out of its service when it is removed, starts anew, or ends its trial.

--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -87,6 +87,7 @@
 	}
 	for id, u := range before {
 		if b.upstreams[id] != u {
+			b.forgetFailures(u)
 			delete(b.own, id)
 			delete(b.subjects, id)
 			for _, s := range b.heard {
@@ -101,6 +102,17 @@
 	}
 }
 
+// forgetFailures takes the failures and slow answers of an upstream out of the counts of its service. Its
+// answers stay: their times are part of the usual response time.
+func (b *Board) forgetFailures(u Upstream) {
+	r, s := b.own[u.ID], b.ownService[u.Service]
+	if r == nil || s == nil {
+		return
+	}
+	c := r.value(s.at) // the service has the later count
+	s.counts = s.counts.plus(Counts{Unanswered: c.Unanswered, Slow: c.Slow, Failed: c.Failed}.times(-1)).atLeastZero()
+}
+
 // Observe adds what this VM has seen since the last call.
 func (b *Board) Observe(now time.Duration, o Observations) {
 	b.notePause(now)
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -98,6 +98,7 @@
 func (b *Board) clear(s *subject, id uint64, now time.Duration) {
 	s.clearedAt = now
 	if r := b.own[id]; r != nil {
+		b.forgetFailures(b.upstreams[id])
 		r.tally, r.failingSince = tally{counts: r.value(now).withoutFailures(), at: now}, 0
 	}
 }
--- a/internal/route/sparevidence/report_test.go
+++ b/internal/route/sparevidence/report_test.go
@@ -17,14 +17,18 @@
 		list = append(list, sparevidence.VM{Name: vmName(n), Domain: "north"})
 	}
 	b.SetVMs(list)
-	var ups []sparevidence.Upstream
-	for id := range uint64(upstreams) {
-		ups = append(ups, sparevidence.Upstream{ID: id + 1, Born: 7, Service: service})
-	}
-	b.SetUpstreams(ups)
+	b.SetUpstreams(startedAt(upstreams, 7))
 	return b
 }
 
+// startedAt returns n upstreams that were started at born.
+func startedAt(n int, born int64) (list []sparevidence.Upstream) {
+	for id := range uint64(n) {
+		list = append(list, sparevidence.Upstream{ID: id + 1, Born: born, Service: service})
+	}
+	return list
+}
+
 func mustReceive(t *testing.T, b *sparevidence.Board, now time.Duration, r sparevidence.Report) {
 	t.Helper()
 	if err := b.Receive(now, r); err != nil {
@@ -238,11 +242,7 @@
 	for n := 1; n <= 5; n++ {
 		mustReceive(t, b, now, against(n, now))
 	}
-	var ups []sparevidence.Upstream
-	for id := range uint64(10) {
-		ups = append(ups, sparevidence.Upstream{ID: id + 1, Born: 8, Service: service})
-	}
-	b.SetUpstreams(ups)
+	b.SetUpstreams(startedAt(10, 8))
 	for range 40 {
 		b.Observe(now, sparevidence.Observations{Upstreams: []sparevidence.Observation{{ID: 1, Counts: sparevidence.Counts{Unanswered: 1}}}})
 		now += 100 * time.Millisecond
