sparevidence: reports list the services that matter, within their bytes

Cause: each report listed all services that a VM had seen, 64 at most, always the first ones by name. With 1,300 services and upstreams of 20 or all of them failing, a report had 1,940 and 2,071 bytes, where 256 fit for each of 16 peers once a second, and services beyond the 64th were never told.

Ruled out: trimming the encoded datagram, since the board would not know which services were told.

Change: a report names five upstreams as before, and lists services as far as they fit: those with failures, with evidence of others, or with load while that is told, come first, and of these the ones told least lately. If some of those are left out the report is partial: its receiver keeps what it heard of them before, and does not take them for services without load.

TestEvidence also covers the new mark.

--- a/internal/peer/sparcontrol/evidence.go
+++ b/internal/peer/sparcontrol/evidence.go
@@ -1,6 +1,7 @@
 package sparcontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,10 +22,14 @@
 
 // EncodeEvidence encodes a report about upstreams as a datagram.
 func EncodeEvidence(r sparevidence.Report) []byte {
-	return marshal(&Datagram{Body: &Datagram_Evidence{Evidence: &Evidence{
+	m := &Evidence{
 		From: r.From, Run: r.Run, Sent: uint64(r.Sent.Milliseconds()), Seen: uint32(r.Seen), Bad: uint32(r.Bad),
 		Upstreams: convert(r.Upstreams, fromSighting), Services: convert(r.Services, fromWorkload),
-	}}})
+	}
+	if r.Partial {
+		m.Services = append(m.Services, &Workload{}) // without a name: stands for the services left out
+	}
+	return marshal(&Datagram{Body: &Datagram_Evidence{Evidence: m}})
 }
 
 func decodeEvidence(m *Evidence) (in ReceivedEvidence, err error) {
@@ -37,9 +42,10 @@
 	if time.Duration(m.Sent) > maxAge/time.Millisecond {
 		return ReceivedEvidence{}, errors.Errorf("sent %d ms after a start, expected at most %s", m.Sent, maxAge)
 	}
+	services := slices.DeleteFunc(slices.Clone(m.Services), func(w *Workload) bool { return w.GetService() == "" })
 	return ReceivedEvidence{Report: sparevidence.Report{
-		From: m.From, Run: m.Run, Sent: time.Duration(m.Sent) * time.Millisecond, Seen: int(m.Seen), Bad: int(m.Bad),
-		Upstreams: convert(m.Upstreams, toSighting), Services: convert(m.Services, toWorkload),
+		Partial: len(services) < len(m.Services), From: m.From, Run: m.Run, Sent: time.Duration(m.Sent) * time.Millisecond, Seen: int(m.Seen), Bad: int(m.Bad),
+		Upstreams: convert(m.Upstreams, toSighting), Services: convert(services, toWorkload),
 	}}, nil
 }
 
--- a/internal/peer/sparcontrol/evidence_test.go
+++ b/internal/peer/sparcontrol/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	want := report(2)
 	want.Services[0].Load = []sparevidence.DomainLoad{{Domain: "north", Requests: 3}}
 	want.Services[0].Refused = 0.5
+	want.Partial = true
 	got, err := sparcontrol.Decode(sparcontrol.EncodeEvidence(want))
 	if err != nil || !reflect.DeepEqual(got, sparcontrol.ReceivedEvidence{Report: want}) {
 		t.Errorf("%+v, error %v, want %+v", got, err, want)
@@ -44,6 +46,65 @@
 	}
 }
 
+// TestReportsOfManyServices covers a VM that has seen 1,300 services, of which upstreams fail: its reports
+// keep to the budget, and each upstream that fails is told in its turn.
+func TestReportsOfManyServices(t *testing.T) {
+	const services = 1300
+	for _, failing := range []int{services, 20, 0} {
+		t.Run(fmt.Sprint(failing), func(t *testing.T) {
+			most := (failing + sparevidence.MaxNamed - 1) / sparevidence.MaxNamed // reports until each is told
+			b, now := boardOfServices(services), time.Minute
+			told := map[uint64]bool{}
+			for reports := 1; len(told) < failing; reports++ {
+				now += time.Second
+				observeServices(b, now, services, failing)
+				r, _ := b.Compose(now)
+				if n := len(sparcontrol.EncodeEvidence(r)); n > reportBudget {
+					t.Fatalf("%d bytes, want at most %d", n, reportBudget)
+				}
+				for _, e := range r.Upstreams {
+					told[e.ID] = true
+				}
+				if reports > most {
+					t.Fatalf("%d of %d upstreams told in %d reports, want all", len(told), failing, reports)
+				}
+			}
+		})
+	}
+}
+
+func serviceName(n int) string { return fmt.Sprintf("service-%04d", n) }
+
+// boardOfServices returns a board with one upstream of each service and as many peers as it can have.
+func boardOfServices(services int) *sparevidence.Board {
+	b := sparevidence.New("edge-north-a-0", 1)
+	var vms []sparevidence.VM
+	for n := range sparevidence.MaxPeers + 1 {
+		vms = append(vms, sparevidence.VM{Name: fmt.Sprint("edge-north-a-", n), Domain: "north"})
+	}
+	b.SetVMs(vms)
+	var upstreams []sparevidence.Upstream
+	for n := range services {
+		upstreams = append(upstreams, sparevidence.Upstream{ID: 1<<63 + uint64(n), Born: 1 << 40, Service: serviceName(n)})
+	}
+	b.SetUpstreams(upstreams)
+	return b
+}
+
+// observeServices tells a board of requests at each service, which the first ones lose in part.
+func observeServices(b *sparevidence.Board, now time.Duration, services, failing int) {
+	var o sparevidence.Observations
+	for n := range services {
+		c := sparevidence.Counts{Opened: 40, Answered: 40}
+		if n < failing {
+			c.Failed = 20
+		}
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: 1<<63 + uint64(n), Counts: c})
+		o.Services = append(o.Services, sparevidence.ServiceObservation{Service: serviceName(n), Waited: 2 * time.Second})
+	}
+	b.Observe(now, o)
+}
+
 func TestEvidenceOutOfRange(t *testing.T) {
 	tests := map[string]func(r *sparevidence.Report){
 		"nameless":     func(r *sparevidence.Report) { r.From = "" },
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -98,8 +98,12 @@
 	for service := range b.ownService {
 		if b.services[service] == 0 {
 			delete(b.ownService, service)
+			delete(b.told, service)
 		}
 	}
+	for _, s := range b.heard {
+		s.forgetServices(b.services)
+	}
 }
 
 // forgetFailures takes the failures and slow answers of an upstream out of the counts of its service. Its
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -25,6 +25,7 @@
 	urgent   bool                     // there is new bad evidence
 	pressed  bool                     // the load is worth reporting
 	named    map[uint64]time.Duration // when an upstream was named last
+	told     map[string]time.Duration // when a service was listed last
 }
 
 // Compose returns the report that is due now, if there is one.
@@ -48,7 +49,7 @@
 		b.named[id] = now
 		r.Upstreams = append(r.Upstreams, b.entry(id, now))
 	}
-	r.Services = b.serviceEntries(now, ids)
+	r.Services, r.Partial = b.pickServices(now, ids)
 	return r, true
 }
 
@@ -118,44 +119,3 @@
 func bad(c Counts) bool {
 	return c.FailureRatio() >= namedFailures || c.Slow >= 2 && c.SlowRatio() >= namedSlow
 }
-
-// serviceEntries returns what this VM has seen of its services, in order. ids are the upstreams
-// named in the report.
-func (b *Board) serviceEntries(now time.Duration, ids []uint64) (list []ServiceEntry) {
-	for name, s := range b.ownService {
-		c := s.value(now)
-		for _, id := range ids {
-			if b.upstreams[id].Service == name {
-				c = c.plus(b.own[id].value(now).times(-1))
-			}
-		}
-		e := ServiceEntry{Service: name, Usual: b.ownUsual(name, now), Others: c.atLeastZero(), Refused: s.refused}
-		if b.pressed {
-			e.Load = domainLoads(s.load)
-		}
-		if s.value(now).samples() >= leastCount || len(e.Load) > 0 {
-			list = append(list, e)
-		}
-	}
-	slices.SortFunc(list, func(a, b ServiceEntry) int { return cmp.Compare(a.Service, b.Service) })
-	return list[:min(len(list), MaxEntries)]
-}
-
-// Usual returns the usual response time of a service: the median of the means of this VM and the
-// VMs that report. It is 0 if nobody knows.
-func (b *Board) Usual(service string, now time.Duration) time.Duration {
-	var list []time.Duration
-	if own := b.ownUsual(service, now); own > 0 {
-		list = append(list, own)
-	}
-	for _, s := range b.heard {
-		if e := s.services[service]; e.Usual > 0 && now-s.at <= reportAge {
-			list = append(list, e.Usual)
-		}
-	}
-	if len(list) == 0 {
-		return 0
-	}
-	slices.Sort(list)
-	return list[(len(list)-1)/2]
-}
--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -37,8 +37,8 @@
 		sums[b.vms[b.self].Domain] = domainSum{vms: 1, requests: float64(total(s.load)), refused: s.refused}
 	}
 	for name, s := range b.heard {
-		e, age := s.services[service], now-s.at
-		if age > 2*reportEvery {
+		e, age, ok := s.load(service, now)
+		if !ok {
 			continue
 		}
 		l.Oldest = max(l.Oldest, age)
@@ -61,6 +61,17 @@
 	return l
 }
 
+// load returns the entry of a service and its age. A VM that does not list the service has no load there,
+// unless its report is partial; ok is false if its load is not known.
+func (s *source) load(service string, now time.Duration) (e ServiceEntry, age time.Duration, ok bool) {
+	heard, listed := s.services[service]
+	if !listed && !s.partial {
+		heard.at = s.at
+	}
+	age = now - heard.at
+	return heard.ServiceEntry, age, age <= 2*reportEvery && (listed || !s.partial)
+}
+
 func total(load map[string]int) (n int) {
 	for _, requests := range load {
 		n += requests
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -200,7 +200,8 @@
 	}
 	c := m.board.others(service, m.now).bounded()
 	for _, s := range m.sources {
-		c = c.plus(s.services[service].Others.times(decay(m.now - s.at)).bounded())
+		e := s.services[service]
+		c = c.plus(e.Others.times(decay(m.now - e.at)).bounded())
 	}
 	m.rest[service] = c
 	return c
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -68,6 +68,7 @@
 		Seen, Bad int           // upstreams seen lately; those of them that answered nothing
 		Upstreams []Entry
 		Services  []ServiceEntry
+		Partial   bool // other services are in the reports before and after it
 	}
 
 	// source is the last report of another VM.
@@ -79,7 +80,14 @@
 		at          time.Duration // when it was sent, by the clock of this VM
 		sick        bool
 		entries     map[uint64]heardEntry
-		services    map[string]ServiceEntry
+		services    map[string]heardService
+		partial     bool // services may be in the reports before the last one alone
+	}
+
+	// heardService is an entry by the clock of this VM.
+	heardService struct {
+		ServiceEntry
+		at time.Duration
 	}
 
 	// heardEntry is an entry by the clock of this VM. Its times are 0 for never.
@@ -115,11 +123,36 @@
 			s.entries[e.ID] = b.hear(s, e)
 		}
 	}
+	b.hearServices(s, b.heard[r.From], r)
 	b.heard[r.From] = s
 	b.changed = true
 	return nil
 }
 
+// hearServices adds the services of the report s, and those of the one before that a partial report
+// leaves out.
+func (b *Board) hearServices(s, before *source, r Report) {
+	if r.Partial && before != nil && before.run == s.run {
+		s.services = before.services
+	} else {
+		s.services = make(map[string]heardService, len(r.Services))
+	}
+	for _, e := range r.Services {
+		if b.services[e.Service] > 0 {
+			s.services[e.Service] = heardService{ServiceEntry: e, at: s.at}
+		}
+	}
+}
+
+// forgetServices deletes those that are not known any more.
+func (s *source) forgetServices(known map[string]int) {
+	for service := range s.services {
+		if known[service] == 0 {
+			delete(s.services, service)
+		}
+	}
+}
+
 // check returns an error if the report is larger than any VM sends, or out of range.
 func (r Report) check() error {
 	if len(r.Upstreams) > MaxEntries || len(r.Services) > MaxEntries {
@@ -158,10 +191,7 @@
 func (s *source) next(now time.Duration, r Report) (*source, error) {
 	n := &source{
 		run: r.Run, sent: r.Sent, received: now, least: now - r.Sent, sick: r.sick(),
-		entries: make(map[uint64]heardEntry, len(r.Upstreams)), services: make(map[string]ServiceEntry, len(r.Services)),
-	}
-	for _, e := range r.Services {
-		n.services[e.Service] = e
+		entries: make(map[uint64]heardEntry, len(r.Upstreams)), partial: r.Partial,
 	}
 	switch {
 	case s == nil:
--- a/internal/route/sparevidence/ring.go
+++ b/internal/route/sparevidence/ring.go
@@ -54,6 +54,20 @@
 	return names[:min(len(names), n)]
 }
 
+// peerCount returns the number of VMs that this VM reports to now.
+func (b *Board) peerCount() (n int) {
+	n = b.expected()
+	if !b.pressed {
+		return n
+	}
+	for domain, vms := range b.domainVMs {
+		if domain != b.vms[b.self].Domain {
+			n += min(vms, loadPeers)
+		}
+	}
+	return n
+}
+
 // expected returns the number of VMs that report to this one while they have something to say.
 func (b *Board) expected() int {
 	return min(b.domainVMs[b.vms[b.self].Domain]-1, MaxPeers)
