sparcookie: a cookie that changes under the same acknowledgement moves no flow

Cause: the copy of a SYN that moves gives a flow two SYN-ACKs. A client that takes one and gets the other as well puts the latter's cookie into its next packets, and the VM sent these to an upstream that does not hold the flow, whichever of the two had won. Only hedged openings were settled by the first packet. Also, where the first upstream had won, its answer did not count, and the second one was ejected for a SYN whose answer nobody acknowledges.

Ruled out: settling by the cookie alone, as for hedges. The first packet seen may not be the first one sent; so data that the client repeats goes by its cookie again, and so does another acknowledgement (another flow on the port). Ruled out too: telling the winner from a first packet that came after both SYN-ACKs. docs/design/hedging.md says why no VM can.

Change: the first packet after a SYN settles each flow, and a later packet with the same acknowledgement stays. The answer of the first upstream counts as an opening; the other one has lost a race, which is no evidence.

One line of forward.go changes.

--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -125,7 +125,7 @@
 	if !e.mayServe(rec, u) {
 		return e.drop(WrongService)
 	}
-	u = e.settleRace(f, u)
+	u = e.settleRace(f, u, s)
 	if f == nil || f.upstream != u {
 		e.forget(key)
 		f = &flow{upstream: u, opened: true, began: e.now, lastProgress: e.now, lastSeen: e.now, ack: s.Ack, nextSeq: s.Seq}
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -53,9 +53,10 @@
 		stats  HedgeStats
 	}
 
-	// hedgeState is the part of a flow record that is about hedges.
+	// hedgeState is the part of a flow record that is about SYNs which went to several upstreams.
 	hedgeState struct {
 		awaiting bool      // in the queue
+		settled  bool      // the first packet after the SYN has shown the upstream
 		rival    *upstream // that the SYN went to as well; once the flow is open, the one that lost
 	}
 )
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -29,37 +29,59 @@
 	}
 }
 
-// settleRace returns the upstream of a flow whose packet has the cookie of u. If its SYN went to two
-// upstreams, the first packet shows which SYN-ACK the client has taken, and the flow stays there: a
-// later cookie of the other one comes from its SYN-ACK, which the client has received as well.
-func (e *Engine) settleRace(f *flow, u *upstream) *upstream {
-	if f == nil || f.hedge.rival != u {
+// settleRace returns the upstream of a flow whose packet s has the cookie of u. A SYN may have gone to
+// several upstreams, by a hedge or by copies that moved. The first packet after it shows which SYN-ACK the
+// client has taken, and the flow stays there: a later cookie of another one comes from a SYN-ACK that
+// the client has received as well, as long as its acknowledgement is the same.
+func (e *Engine) settleRace(f *flow, u *upstream, s Segment) *upstream {
+	switch {
+	case f == nil:
 		return u
-	}
-	if f.opened {
+	case !f.opened:
+		f.hedge.settled = true
+		if f.upstream != u {
+			e.openElsewhere(f, u)
+		}
+		return u
+	case f.hedge.rival == u, f.hedge.settled && s.Ack == f.ack && !f.repeats(s):
 		return f.upstream
 	}
+	return u
+}
+
+// openElsewhere records that the client of f has taken the SYN-ACK of u, and not that of the upstream
+// that its last SYN went to.
+func (e *Engine) openElsewhere(f *flow, u *upstream) {
 	first := f.upstream
-	e.noteLostRace(first, f.began)
-	e.hedges.stats.Won++
-	f.upstream, f.hedge.rival = u, first
+	if f.hedge.rival == u {
+		e.noteLostRace(first, f.began)
+		e.hedges.stats.Won++
+		f.hedge.rival = first
+	} else {
+		e.noteLostRace(first, f.lastProgress)
+	}
+	f.upstream = u
 	if !f.closed {
 		first.flows--
 		u.flows++
 	}
-	return u
 }
 
-// noteLostRace records that the client has taken the SYN-ACK of another upstream than u for an
-// opening that began at a time. The client tells nothing of that of u, so the SYN is no evidence
+// repeats reports whether s has data that this VM has seen.
+func (f *flow) repeats(s Segment) bool {
+	return s.Size > 0 && !seqAfter(s.Seq+uint32(s.Size), f.nextSeq)
+}
+
+// noteLostRace records that the client has taken the SYN-ACK of another upstream than u for a SYN that
+// went to u at a time. The client tells nothing of that of u, so the SYN is no evidence
 // against u by itself.
-func (e *Engine) noteLostRace(u *upstream, began time.Duration) {
+func (e *Engine) noteLostRace(u *upstream, sent time.Duration) {
 	if u.races.at <= u.lastResponse {
 		u.races.count = 0
 	}
 	u.races.count++
 	u.races.at = e.now
-	if u.pendingSince == began {
+	if u.pendingSince == sent {
 		u.pendingSince = 0
 	}
 	if u.races.count >= racesToEject || u.health.Probing() {
