sparevidence, sparcookie: requests that hang are told before their clients give up

Cause: a mute upstream acknowledges a request and never answers it.

Ruled out: counting such a request as a failure. Its flow may have moved to another VM (TestMovedFlowsAreNotOverdue stays as it is). A new field in the report: no generator of the control format is at hand; the start of a row without a time of failure says it. Three VMs instead of four: more flows that move look like a fault.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -117,6 +117,8 @@
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
 		progressed      bool                // a response went on since the last Observations
+		hanging         bool                // a request became overdue since then, see noteHanging
+		answeredAt      time.Duration       // last request that was answered, or last progress of a response
 		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
@@ -178,6 +180,7 @@
 // probe the upstream, and deletes expired records.
 func (e *Engine) Tick() {
 	e.checkOpenings()
+	e.checkWaiting()
 	for _, u := range e.upstreams {
 		if !u.removed && u.health.Tick(e.now, 0) {
 			u.pendingSince = 0 // only the SYN of the probe counts from here on
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -28,11 +28,12 @@
 
 // serviceState is what this VM sees of a service.
 type serviceState struct {
-	usual   time.Duration  // response time, as told by SetUsual
-	waited  time.Duration  // by the requests answered since the last Observations
-	refused int            // openings refused since then
-	busy    time.Duration  // waited by the requests answered since the last count of the load
-	load    map[string]int // requests under way, by failure domain, at the last count
+	usual   time.Duration    // response time, as told by SetUsual
+	waited  time.Duration    // by the requests answered since the last Observations
+	refused int              // openings refused since then
+	busy    time.Duration    // waited by the requests answered since the last count of the load
+	load    map[string]int   // requests under way, by failure domain, at the last count
+	waiting []waitingRequest // oldest first
 }
 
 // SetWeight sets the weight of an upstream for new flows by the evidence of several VMs, between
@@ -75,8 +76,8 @@
 // Observations returns what this VM has seen of upstreams and services since the last call.
 func (e *Engine) Observations() (o sparevidence.Observations) {
 	for _, u := range e.observed {
-		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen, Progressed: u.progressed})
-		u.seen, u.isObserved, u.progressed = sparevidence.Counts{}, false, false
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen, Progressed: u.progressed, Hanging: u.hanging})
+		u.seen, u.isObserved, u.progressed, u.hanging = sparevidence.Counts{}, false, false, false
 	}
 	e.observed = e.observed[:0]
 	counted := e.countLoad()
@@ -137,6 +138,7 @@
 // has counted goes on.
 func (e *Engine) noteResponse(f *flow) {
 	u := f.upstream
+	u.answeredAt, u.hanging = e.now, false
 	if f.requestedAt == 0 {
 		e.seenOf(u)
 		u.progressed = true
@@ -194,6 +196,7 @@
 	f.overdue = false
 	if !f.closed {
 		f.upstream.underWay++
+		e.awaitResponse(f)
 	}
 }
 
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -32,6 +32,8 @@
 		answeredAt   time.Duration // last request that was answered, or last progress of a response
 		failedAt     time.Duration // last failure
 		failingSince time.Duration // first failure since the last answered request, or 0
+		hangingSince time.Duration // first request that hangs since then, or 0
+		hungAt       time.Duration // last one
 	}
 
 	// serviceRecord is what this VM has seen of one service.
@@ -147,6 +149,9 @@
 	if c.Answered > 0 || obs.Progressed {
 		b.noteAnswers(now, u.ID, c.Answered)
 	}
+	if obs.Hanging && r.answeredAt != now {
+		b.noteHanging(now, u.ID)
+	}
 	if c.Failures() > 0 {
 		r.failedAt = now
 		if r.failingSince == 0 && r.answeredAt != now {
@@ -164,7 +169,7 @@
 // noteAnswers notes a sign that an upstream answers, and n answered requests.
 func (b *Board) noteAnswers(now time.Duration, id uint64, n float64) {
 	r := b.own[id]
-	r.answeredAt, r.failingSince = now, 0
+	r.answeredAt, r.failingSince, r.hangingSince = now, 0, 0
 	if s := b.subjects[id]; s != nil {
 		s.answers += n
 		b.changed = b.changed || s.weight == 0
--- a/internal/route/sparevidence/compose.go
+++ b/internal/route/sparevidence/compose.go
@@ -56,10 +56,14 @@
 // entry returns what this VM has seen of an upstream.
 func (b *Board) entry(id uint64, now time.Duration) Entry {
 	r := b.own[id]
-	return Entry{
+	e := Entry{
 		ID: id, Born: uint32(b.upstreams[id].Born), Counts: r.value(now),
 		Answered: ago(r.answeredAt, now), Failed: ago(r.failedAt, now), Streak: ago(r.failingSince, now),
 	}
+	if r.failingSince == 0 && r.hangs(now) {
+		e.Failed, e.Streak = Never, ago(r.hangingSince, now)
+	}
+	return e
 }
 
 // ago returns the age of an event, or Never for one that is long ago.
@@ -101,7 +105,7 @@
 // news reports whether there is something new about an upstream that others should know at once.
 func (b *Board) news(id uint64) bool {
 	r, since := b.own[id], b.named[id]
-	return r.failedAt > since || r.answeredAt > since && b.answersWanted(id)
+	return max(r.failedAt, r.hungAt) > since || r.answeredAt > since && b.answersWanted(id)
 }
 
 // worthNaming reports whether an upstream did badly here, or has been seen here since others
@@ -109,7 +113,7 @@
 func (b *Board) worthNaming(id uint64, r *record, now time.Duration) bool {
 	c := r.value(now)
 	seen := c.samples() >= leastCount
-	if seen && bad(c) {
+	if seen && bad(c) || r.hangs(now) {
 		return true
 	}
 	return b.subjects[id] != nil && (seen && r.at > b.named[id] || r.answeredAt > b.named[id])
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -14,13 +14,13 @@
 
 // settled reports whether nothing speaks against the upstream any more.
 func (o opinion) settled() bool {
-	return o.weight == 1 && o.cause == Fine && len(o.witnesses) == 0
+	return o.weight == 1 && o.cause == Fine && len(o.witnesses) == 0 && o.hanging < 2
 }
 
 // judge returns the weight that a subject should have, and moves it between ejection, trial
 // and fine.
 func (b *Board) judge(s *subject, e merged, m *merger) opinion {
-	s.doubted = e.failing >= 2 && e.onset > 0
+	s.doubted = e.failing >= 2 && e.onset > 0 || e.hanging >= 2
 	if e.split {
 		s.splitAt = m.now
 	}
@@ -36,7 +36,7 @@
 		}
 	case s.trialSince > 0:
 		b.judgeTrial(s, e, m)
-	case s.doubted && !e.split && b.confirmed(e, m) && b.mayEject(s, e, m):
+	case e.failing >= 2 && e.onset > 0 && !e.split && b.confirmed(e, m) && b.mayEject(s, e, m), m.hangs(e):
 		s.eject(m.now)
 	}
 	switch {
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -14,6 +14,8 @@
 		names   []string // of the VMs that count, in order
 		sources []*source
 		rest    map[string]Counts // of peers, by service
+
+		slowServices map[string]bool
 	}
 
 	// sighting is what one VM has seen of an upstream.
@@ -21,6 +23,7 @@
 		name         string
 		counts       Counts
 		failingSince time.Duration // first failure since its last answer, or 0
+		hangingSince time.Duration // first request that hangs since then, or 0
 		answeredAt   time.Duration
 		failedAt     time.Duration
 		own          bool
@@ -40,6 +43,10 @@
 		split       bool          // it has answered a VM since onset
 		answersHere bool          // it has answered this VM since the others saw it fail
 		fineHere    bool          // and it has not failed this VM lately
+		hanging     int           // VMs whose requests hang
+		answersSome bool          // it has answered a VM meanwhile
+
+		hangingSpread time.Duration // between the first and the last of them
 	}
 )
 
@@ -47,7 +54,7 @@
 // fails for another one may be the fault of the links between them. A VM for which most upstreams fail
 // does not count, unless it is so for all.
 func (b *Board) newMerger(now time.Duration) *merger {
-	m := &merger{board: b, now: now, rest: map[string]Counts{}}
+	m := &merger{board: b, now: now, rest: map[string]Counts{}, slowServices: map[string]bool{}}
 	seen, bad := b.seen(now)
 	m.sick = Report{Seen: seen, Bad: bad}.sick()
 	allSick := m.sick && len(b.heard) > 0
@@ -101,6 +108,7 @@
 	others := m.board.expected()
 	e.unanimous = others > 0 && agreeing == len(e.sightings) && agreeing >= others
 	m.noteOwnAnswers(&e)
+	e.noteHanging(m.now)
 	return e
 }
 
@@ -130,11 +138,19 @@
 	for i, s := range m.sources {
 		h, ok := s.entries[id]
 		if settled := h.failedAt > 0 && h.failedAt <= cleared; ok && !settled {
-			sightings = append(sightings, sighting{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), failingSince: h.failingSince, answeredAt: h.answeredAt, failedAt: h.failedAt})
+			v := sighting{name: m.names[i], counts: h.counts.times(decay(m.now - s.at)), failingSince: h.failingSince, answeredAt: h.answeredAt, failedAt: h.failedAt}
+			if m.now-s.at <= hangingTime {
+				v.hangingSince = h.hangingSince
+			}
+			sightings = append(sightings, v)
 		}
 	}
 	if r := m.board.own[id]; r != nil && !m.sick {
-		sightings = append(sightings, sighting{name: m.board.self, counts: r.value(m.now), failingSince: r.failingSince, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true})
+		v := sighting{name: m.board.self, counts: r.value(m.now), failingSince: r.failingSince, answeredAt: r.answeredAt, failedAt: r.failedAt, own: true}
+		if r.hangs(m.now) {
+			v.hangingSince = r.hangingSince
+		}
+		sightings = append(sightings, v)
 	}
 	return sightings
 }
@@ -191,51 +207,3 @@
 	e.split = e.split || e.answersHere
 	e.fineHere = e.answersHere && r.value(m.now).Failures() < leastCount
 }
-
-// peers returns the counts of the upstreams of a service about which there is no evidence, with
-// equal parts of all VMs.
-func (m *merger) peers(service string) Counts {
-	if c, ok := m.rest[service]; ok {
-		return c
-	}
-	c := m.board.others(service, m.now).bounded()
-	for _, s := range m.sources {
-		e := s.services[service]
-		c = c.plus(e.Others.times(decay(m.now - e.at)).bounded())
-	}
-	m.rest[service] = c
-	return c
-}
-
-// others returns what this VM has seen of the upstreams of a service that are no subjects, or of
-// all of them if most are: then the service is overloaded or most of it fails.
-func (b *Board) others(service string, now time.Duration) Counts {
-	s := b.ownService[service]
-	if s == nil {
-		return Counts{}
-	}
-	total := s.value(now)
-	c, subjects := total, 0
-	for id := range b.subjects {
-		if b.upstreams[id].Service != service {
-			continue
-		}
-		subjects++
-		if r := b.own[id]; r != nil {
-			c = c.plus(r.value(now).times(-1))
-		}
-	}
-	if 2*subjects > b.services[service] {
-		return total
-	}
-	return c.atLeastZero()
-}
-
-// atLeastZero removes the rounding errors of a difference.
-func (c Counts) atLeastZero() Counts {
-	c.Answered = max(0, c.Answered)
-	return Counts{
-		Opened: max(0, c.Opened), Unanswered: max(0, c.Unanswered),
-		Answered: c.Answered, Slow: min(max(0, c.Slow), c.Answered), Failed: max(0, c.Failed),
-	}
-}
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -42,7 +42,7 @@
 		// Ages when the report was sent, or Never.
 		Answered time.Duration // of the last answered request
 		Failed   time.Duration // of the last failure
-		Streak   time.Duration // of the first failure since the last answered request
+		Streak   time.Duration // of the first failure since the last answered request; with Failed Never, of the first one that hangs
 	}
 
 	// ServiceEntry is what the sender of a report has seen of a service.
@@ -96,6 +96,7 @@
 		failedAt     time.Duration
 		answeredAt   time.Duration
 		failingSince time.Duration // first failure since the last answer
+		hangingSince time.Duration // first request that hangs since then
 	}
 )
 
@@ -126,6 +127,11 @@
 	b.hearServices(s, b.heard[r.From], r)
 	b.heard[r.From] = s
 	b.changed = true
+	for id, h := range s.entries {
+		if h.hangingSince > 0 {
+			b.doubtHanging(now, id)
+		}
+	}
 	return nil
 }
 
@@ -220,9 +226,13 @@
 	if !s.sick && bad(e.Counts) {
 		b.subject(e.ID, s.received)
 	}
-	return heardEntry{
+	h := heardEntry{
 		counts: e.Counts, failingSince: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
 	}
+	if e.Failed == Never {
+		h.failingSince, h.hangingSince = 0, h.failingSince
+	}
+	return h
 }
 
 // before returns the time that is ago before at, or 0 for Never. What happened before the start of this VM
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -80,7 +80,7 @@
 		since        time.Duration // first evidence
 		weight       float64
 		cause        Cause
-		doubted      bool          // two VMs see nothing but failures
+		doubted      bool          // two VMs see nothing but failures, or requests that hang
 		ejectedUntil time.Duration // 0 unless ejected
 		ejectionTime time.Duration
 		trialSince   time.Duration // 0 unless on trial
