sparcookie: a hedge avoids suspect failure domains of its own service

Cause: whether suspicion of failure domains counts is worked out for a service by each placement, and kept in the engine. A hedge used what the last placement had left, maybe of another service: after a flow of a service whose failure domains are all suspect, hedges went to upstreams of a suspect domain. Found by reading.

Change: placement and hedge both work it out for their service (assess).

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -3,17 +3,12 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 const (
 	// suspectUpstreams is the number of upstreams of a failure domain that have to leave
 	// SYNs unanswered before the whole domain is suspect.
 	suspectUpstreams = 3
-	// domainProbeInterval is the time after an unanswered probe of a suspect domain until the
-	// next one for the same service. Each of them delays a client.
-	domainProbeInterval = time.Second
 	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
 	recoveryLimit = 10 * time.Second
 	// slowStartTime is how long an upstream that has come back counts as slowStartShare of its
@@ -39,12 +34,6 @@
 		probes       map[string]domainProbe // last ones since suspectSince, by service
 	}
 
-	// domainProbe is a SYN that probes a suspect failure domain for a service.
-	domainProbe struct {
-		upstream *upstream
-		at       time.Duration
-	}
-
 	// opening is a SYN whose response is not yet due.
 	opening struct {
 		upstream *upstream
@@ -179,76 +168,3 @@
 	}
 	return true
 }
-
-// probeDue reports whether a SYN of a service may probe d: its last probe was answered, or it is long
-// ago.
-func (d *domainState) probeDue(service string, now time.Duration) bool {
-	if d.suspectSince == 0 {
-		return false
-	}
-	last, ok := d.probes[service]
-	if !ok {
-		return now-d.suspectSince >= domainProbeInterval
-	}
-	return !last.upstream.unproven() || now-last.at >= domainProbeInterval
-}
-
-// pickProbe returns an upstream among those of a service to probe a suspect failure domain, or nil. A
-// domain's upstreams take turns.
-func (e *Engine) pickProbe(domains []*domainState, upstreams []*upstream) *upstream {
-	if len(upstreams) == 0 {
-		return nil
-	}
-	service := upstreams[0].Service
-	for _, d := range domains {
-		if !d.probeDue(service, e.now) {
-			continue
-		}
-		if u := e.nextProbe(d, upstreams); u != nil {
-			d.probes[service] = domainProbe{upstream: u, at: e.now}
-			return u
-		}
-	}
-	return nil
-}
-
-// probeOwn returns an upstream of the own failure domain for a probe, or nil. Copies of a SYN are
-// not used for probes, since their client has waited already.
-func (e *Engine) probeOwn(p *pool, exclude *upstream) *upstream {
-	if exclude != nil || len(p.local) == 0 {
-		return nil // the first of the domains is another one
-	}
-	return e.pickProbe(p.domains[:1], p.local)
-}
-
-// probeOther returns an upstream of any failure domain for a probe, or nil.
-func (e *Engine) probeOther(p *pool, exclude *upstream) *upstream {
-	if exclude != nil {
-		return nil
-	}
-	return e.pickProbe(p.domains, p.all)
-}
-
-// nextProbe returns the unproven upstream of d whose turn it is, or nil: the one whose last SYN
-// since d became suspect is the oldest. Each VM has an order of its own, so that they don't all
-// send their flows to the same upstream once it answers.
-func (e *Engine) nextProbe(d *domainState, upstreams []*upstream) (next *upstream) {
-	for _, u := range upstreams {
-		if u.domain != d || !u.unproven() || !e.takesFlows(u) || e.outOfQuota(u) || e.leftToHolders(u) {
-			continue
-		}
-		if next == nil || e.probedBefore(u, next) {
-			next = u
-		}
-	}
-	return next
-}
-
-// probedBefore reports whether it is the turn of a before that of b, of the same domain.
-func (e *Engine) probedBefore(a, b *upstream) bool {
-	turnA, turnB := max(a.lastSYN, a.domain.suspectSince), max(b.lastSYN, b.domain.suspectSince)
-	if turnA != turnB {
-		return turnA < turnB
-	}
-	return sparrank.Weight(e.probeSeed, a.ID) > sparrank.Weight(e.probeSeed, b.ID)
-}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -57,7 +57,7 @@
 		openings  []opening     // SYNs whose response is not yet due, oldest first
 		checkedAt time.Duration // last check of openings
 		pausedAt  time.Duration // end of the last pause of this VM
-		distrust  bool          // set by best, for its service: suspect failure domains are avoided, unless all are suspect
+		distrust  bool          // set by assess, for one service: suspect failure domains are avoided, unless all are suspect
 		services  map[string]*serviceState
 		observed  []*upstream // with counts for the next Observations
 		pressed   bool
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -74,8 +74,7 @@
 	if p == nil {
 		return nil
 	}
-	e.checkOpenings()
-	e.distrust = !p.allSuspect()
+	e.assess(p)
 	full := e.domainFull(p.local, e.serviceTime(service)) || e.queueing(service)
 	if !full {
 		if u := e.probeOwn(p, exclude); u != nil {
@@ -92,6 +91,12 @@
 	return e.markPlaced(u)
 }
 
+// assess prepares tierOf for the upstreams of a service.
+func (e *Engine) assess(p *pool) {
+	e.checkOpenings()
+	e.distrust = !p.allSuspect()
+}
+
 // markPlaced records that a SYN goes to u, which may be nil.
 func (e *Engine) markPlaced(u *upstream) *upstream {
 	if u != nil {
@@ -139,7 +144,7 @@
 	return !u.Draining && !u.removed && !u.unusable && !u.evacuated
 }
 
-// tierOf returns the tier of u.
+// tierOf returns the tier of u, whose pool was assessed last.
 func (e *Engine) tierOf(u *upstream) tier {
 	switch {
 	case !e.takesFlows(u), e.outOfQuota(u):
--- a/internal/route/sparcookie/second.go
+++ b/internal/route/sparcookie/second.go
@@ -7,6 +7,7 @@
 // secondUpstream returns the best upstream for the hedge of an opening at first, or nil if none is
 // fit. It is in another failure domain if that of first is suspect or full.
 func (e *Engine) secondUpstream(p *pool, key flowKey, first *upstream) (best *upstream) {
+	e.assess(p)
 	full := e.domainFull(p.local, e.serviceTime(first.Service))
 	suspect := e.domainFailing(p, first.Domain)
 	bestTier, bestScore := tierNone, 0.0
