sparevidence, sparhedge: names, an example of the whole of sparhedge

As a newcomer reads them: opinions were held in "weights", the counts of peers in "rest", and the condition for failures in a row stood twice.

--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -2,8 +2,8 @@
 //
 // A VM of a large deployment sees each upstream rarely. A Board holds what this VM has seen
 // and what others report, and derives a weight for new flows per upstream: 1, less, or 0 for
-// an ejected one. Only evidence of two VMs changes a weight. What one VM sees alone is the
-// business of its own engine:
+// an ejected one. Only evidence of two VMs changes a weight, and that of four while requests merely
+// hang. What one VM sees alone is the business of its own engine:
 //
 //	b := sparevidence.New("vm-1", run)
 //	b.SetVMs(vms)
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -20,7 +20,7 @@
 // judge returns the weight that a subject should have, and moves it between ejection, trial
 // and fine.
 func (b *Board) judge(s *subject, e merged, m *merger) opinion {
-	s.doubted = e.failing >= 2 && e.onset > 0 || e.hanging >= 2
+	s.doubted = e.failsInARow() || e.hanging >= 2
 	if e.split {
 		s.splitAt = m.now
 	}
@@ -36,7 +36,7 @@
 		}
 	case s.trialSince > 0:
 		b.judgeTrial(s, e, m)
-	case e.failing >= 2 && e.onset > 0 && !e.split && b.confirmed(e, m) && b.mayEject(s, e, m), m.hangs(e):
+	case e.failsInARow() && !e.split && b.confirmed(e, m) && b.mayEject(s, e, m), m.hangs(e):
 		s.eject(m.now)
 	}
 	switch {
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -13,9 +13,9 @@
 		sick    bool     // most upstreams fail for this VM
 		names   []string // of the VMs that count, in order
 		sources []*source
-		rest    map[string]Counts // of peers, by service
 
-		slowServices map[string]bool
+		peerCounts   map[string]Counts // by service, see peers
+		slowServices map[string]bool   // see slow
 	}
 
 	// sighting is what one VM has seen of an upstream.
@@ -54,7 +54,7 @@
 // fails for another one may be the fault of the links between them. A VM for which most upstreams fail
 // does not count, unless it is so for all.
 func (b *Board) newMerger(now time.Duration) *merger {
-	m := &merger{board: b, now: now, rest: map[string]Counts{}, slowServices: map[string]bool{}}
+	m := &merger{board: b, now: now, peerCounts: map[string]Counts{}, slowServices: map[string]bool{}}
 	seen, bad := b.seen(now)
 	m.sick = Report{Seen: seen, Bad: bad}.sick()
 	allSick := m.sick && len(b.heard) > 0
@@ -112,6 +112,9 @@
 	return e
 }
 
+// failsInARow reports whether two VMs see nothing but failures.
+func (e merged) failsInARow() bool { return e.failing >= 2 && e.onset > 0 }
+
 // failedSince returns how many other VMs have seen failures since a time.
 func (e merged) failedSince(since time.Duration) (n int) {
 	for _, v := range e.sightings {
--- a/internal/route/sparevidence/peers.go
+++ b/internal/route/sparevidence/peers.go
@@ -5,7 +5,7 @@
 // peers returns the counts of the upstreams of a service about which there is no evidence, with
 // equal parts of all VMs.
 func (m *merger) peers(service string) Counts {
-	if c, ok := m.rest[service]; ok {
+	if c, ok := m.peerCounts[service]; ok {
 		return c
 	}
 	c := m.board.others(service, m.now).bounded()
@@ -13,7 +13,7 @@
 		e := s.services[service]
 		c = c.plus(e.Others.times(decay(m.now - e.at)).bounded())
 	}
-	m.rest[service] = c
+	m.peerCounts[service] = c
 	return c
 }
 
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -121,12 +121,12 @@
 	b.changed, b.evaluated = false, now
 	b.expire(now)
 	m := b.newMerger(now)
-	weights := map[uint64]opinion{}
+	opinions := map[uint64]opinion{}
 	for id, s := range b.subjects {
-		weights[id] = b.judge(s, m.merge(id), m)
+		opinions[id] = b.judge(s, m.merge(id), m)
 	}
-	b.limitEjections(weights)
-	for id, o := range weights {
+	b.limitEjections(opinions)
+	for id, o := range opinions {
 		if c, ok := b.publish(id, o); ok {
 			changes = append(changes, c)
 		}
--- a/internal/route/sparhedge/sparhedge_test.go
+++ b/internal/route/sparhedge/sparhedge_test.go
@@ -9,6 +9,25 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparhedge"
 )
 
+// Example sends an opening that takes longer than usual to a second upstream.
+func Example() {
+	var times sparhedge.Times
+	budget := sparhedge.NewBudget(0.05)
+	queue := sparhedge.NewQueue[string](8)
+	now := time.Second
+	for range 100 { // openings that were answered at once
+		budget.Opened()
+		times.Record(3*time.Millisecond, now)
+	}
+	delay, _ := times.Delay()
+	slot, _ := queue.Add("100.64.0.7:40001", now)
+	now += delay
+	if item, ok := queue.Next(now - delay); ok && budget.Take(now) {
+		fmt.Println(item.Key, item.Slot == slot, now-item.Began < 5*time.Millisecond)
+	}
+	// Output: 100.64.0.7:40001 true true
+}
+
 // ExampleTimes takes 1,000 openings of 3 ms, of which one in fifty takes longer.
 func ExampleTimes() {
 	var times sparhedge.Times
