--- a/internal/route/sparcookie/forward_test.go
+++ b/internal/route/sparcookie/forward_test.go
@@ -304,6 +304,25 @@
 	}
 }
 
+// BenchmarkProgress acknowledges the packets of long responses on 9,000 flows, each in turn.
+func BenchmarkProgress(b *testing.B) {
+	f := newFixture(&testing.T{})
+	var segments []sparcookie.Segment
+	for range 9_000 {
+		c := f.newClient(bookingAddr)
+		c.open()
+		c.ackHandshake()
+		segments = append(segments, c.s)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		s := &segments[i%len(segments)]
+		s.Ack += 1200
+		f.engine.Forward(*s)
+	}
+}
+
 // BenchmarkForward forwards packets of 9,000 open flows, each in turn.
 func BenchmarkForward(b *testing.B) {
 	f := newFixture(&testing.T{})
