sparcookie: a request hangs from five times the usual time on

Cause: eight times and 0.4 s, at which a request counts as a failure, is late for what four VMs have to see first.

Change: five times the usual time, 0.2 s at least. An upstream that pauses or is slow answers somebody meanwhile, which refutes it, and its requests of one moment hang together, which does not count.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -117,7 +117,7 @@
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
 		progressed      bool                // a response went on since the last Observations
-		hanging         bool                // a request became overdue since then, see noteHanging
+		hanging         bool                // a request hangs since then, see noteHanging
 		answeredAt      time.Duration       // last request that was answered, or last progress of a response
 		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
--- a/internal/route/sparcookie/hanging.go
+++ b/internal/route/sparcookie/hanging.go
@@ -2,26 +2,33 @@
 
 import "time"
 
-// maxWaiting bounds the requests of a service that wait for overdueAfter: those of 1,000 a second.
-const maxWaiting = 512
+const (
+	// hangingFactor times the usual response time of its service, and leastHanging at least, is the age from
+	// which on a request hangs. It may be less than that at which it is overdue, since an answer to any
+	// client refutes it.
+	hangingFactor = 5
+	leastHanging  = 200 * time.Millisecond
+	// maxWaiting bounds the requests of a service that wait for it: those of 2,500 a second.
+	maxWaiting = 512
+)
 
-// waitingRequest is a request that is not yet overdue.
+// waitingRequest is a request that does not hang yet.
 type waitingRequest struct {
 	flow *flow
 	at   time.Duration
 }
 
-// awaitResponse records the request of f that arrives now, which has to be answered within overdueAfter.
+// awaitResponse records the request of f that arrives now, which has to be answered in time.
 func (e *Engine) awaitResponse(f *flow) {
 	if s := f.upstream.service; s.usual > 0 && len(s.waiting) < maxWaiting {
 		s.waiting = append(s.waiting, waitingRequest{flow: f, at: e.now})
 	}
 }
 
-// checkWaiting notes the requests that have become overdue without a sign of their clients.
+// checkWaiting notes the requests that hang by now.
 func (e *Engine) checkWaiting() {
 	for _, s := range e.services {
-		age, due := overdueAfter(s.usual), 0
+		age, due := max(leastHanging, hangingFactor*s.usual), 0
 		for _, w := range s.waiting {
 			if e.now-w.at < age {
 				break
@@ -33,7 +40,7 @@
 	}
 }
 
-// noteHanging notes an upstream at which a request is overdue, if it has answered no request of this VM
+// noteHanging notes an upstream at which a request hangs, if it has answered no request of this VM
 // since. This is no failure: the flow may have moved to another VM, which sees the response.
 func (e *Engine) noteHanging(w waitingRequest) {
 	f, u := w.flow, w.flow.upstream
--- a/internal/route/sparcookie/hanging_test.go
+++ b/internal/route/sparcookie/hanging_test.go
@@ -90,15 +90,15 @@
 		play func(f *fixture, c *client)
 		want bool
 	}{
-		{"not yet overdue", func(f *fixture, _ *client) { f.wait(390 * time.Millisecond) }, false},
-		{"overdue", func(f *fixture, _ *client) { f.wait(450 * time.Millisecond) }, true},
+		{"not yet", func(f *fixture, _ *client) { f.wait(190 * time.Millisecond) }, false},
+		{"hangs", func(f *fixture, _ *client) { f.wait(250 * time.Millisecond) }, true},
 		{"answered", func(f *fixture, c *client) {
 			c.ackResponse()
-			f.wait(450 * time.Millisecond)
+			f.wait(250 * time.Millisecond)
 		}, false},
 		{"another request was answered", func(f *fixture, c *client) {
 			f.askAt(c.upstream)
-			f.wait(450 * time.Millisecond)
+			f.wait(250 * time.Millisecond)
 		}, false},
 		{"this VM was paused", func(f *fixture, _ *client) {
 			f.wait(100 * time.Millisecond)
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -63,7 +63,7 @@
 		ID         uint64
 		Counts     Counts
 		Progressed bool // a response that is under way went on
-		Hanging    bool // a request is overdue whose flow may have moved, and none was answered since it came
+		Hanging    bool // a request waits for long whose flow may have moved, and none was answered since it came
 	}
 
 	// ServiceObservation is what a VM has seen of a service since the last one.
