sparevidence: a service is told once a second

Cause: urgent reports follow each other after 100 ms and filled their room with services told just before, so the budget of a second was gone after one or two of them.

Change: a report leaves out services listed within the last second, and is partial if there is something to say about them, so that its receivers keep what they have.

--- a/internal/route/sparevidence/services.go
+++ b/internal/route/sparevidence/services.go
@@ -24,7 +24,8 @@
 
 // pickServices returns what this VM has seen of its services, in order. ids are the upstreams named in
 // the report. As far as there is room, those about which there is something to say come first, and
-// of these the ones that were listed least lately. partial is set if some of them are left out.
+// of these the ones that were listed least lately. None is listed twice within reportEvery, so that urgent
+// reports are small. partial is set if services with something to say are left out.
 func (b *Board) pickServices(now time.Duration, ids []uint64) (list []ServiceEntry, partial bool) {
 	candidates := b.candidates(now, ids)
 	slices.SortFunc(candidates, func(x, y candidate) int {
@@ -38,9 +39,13 @@
 	})
 	room := b.room(len(ids))
 	for _, c := range candidates {
+		if at, ok := b.told[c.Service]; ok && now-at < reportEvery {
+			partial = partial || c.wanted
+			continue
+		}
 		room -= c.bytes()
 		if len(list) > 0 && room < 0 || len(list) == MaxEntries-1 {
-			partial = c.wanted
+			partial = partial || c.wanted
 			break
 		}
 		b.told[c.Service] = now
--- a/internal/route/sparevidence/services_test.go
+++ b/internal/route/sparevidence/services_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// TestUrgentReportsAreSmall covers upstreams that fail one after the other, 100 ms apart: the reports that
+// tell of each leave out what the first one has said of the service.
+func TestUrgentReportsAreSmall(t *testing.T) {
+	b := newServices(1)
+	b.SetUpstreams(startedAt(10, 7))
+	now := time.Minute
+	for n := range 5 {
+		now += 100 * time.Millisecond
+		b.Observe(now, sparevidence.Observations{Upstreams: []sparevidence.Observation{{ID: uint64(n + 1), Counts: sparevidence.Counts{Opened: 1, Failed: 1}}}})
+		r, due := b.Compose(now)
+		if first := n == 0; !due || len(r.Services) == 1 != first || r.Partial == first {
+			t.Errorf("report %d: %+v, want the service in the first one alone", n, r)
+		}
+	}
+	now += time.Second
+	if r, _ := b.Compose(now); len(r.Services) != 1 || r.Partial {
+		t.Errorf("report %+v a second later, want the service", r)
+	}
+}
+
 // TestPartialReports checks the load of a VM whose reports hold a part of its services.
 func TestPartialReports(t *testing.T) {
 	b := newServices(3)
