--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -3,17 +3,12 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
 )
 
 const (
 	// suspectUpstreams is the number of upstreams of a failure domain that have to leave
 	// SYNs unanswered before the whole domain is suspect.
 	suspectUpstreams = 3
-	// domainProbeInterval is the time after an unanswered probe of a suspect domain until the
-	// next one. Each of them delays a client.
-	domainProbeInterval = time.Second
 	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
 	recoveryLimit = 10 * time.Second
 	// slowStartTime is how long an upstream that has come back counts as slowStartShare of its
@@ -31,13 +26,12 @@
 	// domainState is what this VM sees of a failure domain and its upstreams of all services.
 	domainState struct {
 		name         string
-		usable       int           // upstreams that take new flows
-		lastResponse time.Duration // of any upstream
-		silent       int           // upstreams that left a SYN unanswered since lastResponse
-		suspectSince time.Duration // 0 while the domain is not suspect
-		answered     int           // upstreams that have answered since suspectSince
-		probe        *upstream     // probed last, or nil
-		probedAt     time.Duration
+		usable       int                    // upstreams that take new flows
+		lastResponse time.Duration          // of any upstream
+		silent       int                    // upstreams that left a SYN unanswered since lastResponse
+		suspectSince time.Duration          // 0 while the domain is not suspect
+		answered     int                    // upstreams that have answered since suspectSince
+		probes       map[string]domainProbe // last ones since suspectSince, by service
 	}
 
 	// opening is a SYN whose response is not yet due.
@@ -91,7 +85,7 @@
 // noteOpening records a SYN sent to u, which has to be answered within synAckTimeout.
 func (e *Engine) noteOpening(u *upstream) {
 	u.lastSYN = e.now
-	if len(e.openings) < maxOpenings && e.now-e.pausedAt >= catchUpTime {
+	if len(e.openings) < maxOpenings && !e.JustPaused() {
 		e.openings = append(e.openings, opening{upstream: u, at: e.now})
 	}
 }
@@ -127,7 +121,7 @@
 	u.silentAt = e.now
 	d.silent++
 	if d.silent >= suspectUpstreams && (d.suspectSince == 0 || d.answered > 0) {
-		d.suspectSince, d.answered, d.probe, d.probedAt = e.now, 0, nil, e.now
+		d.suspectSince, d.answered, d.probes = e.now, 0, map[string]domainProbe{}
 		e.stats.Suspected++
 		e.emit(DomainChanged{Domain: d.name, Suspect: true, Upstreams: d.usable, Silent: e.now - d.lastResponse})
 	}
@@ -144,7 +138,7 @@
 	d.lastResponse, d.silent = e.now, 0
 	if d.suspectSince > 0 && d.recovered(e.now) {
 		e.emit(DomainChanged{Domain: d.name, Upstreams: d.answered, Silent: e.now - d.suspectSince})
-		d.suspectSince, d.probe = 0, nil
+		d.suspectSince, d.probes = 0, nil
 	}
 }
 
@@ -174,67 +168,3 @@
 	}
 	return true
 }
-
-// probeDue reports whether a SYN may probe d: the last probe was answered, or it is long ago.
-func (d *domainState) probeDue(now time.Duration) bool {
-	if d.suspectSince == 0 {
-		return false
-	}
-	return d.probe != nil && !d.probe.unproven() || now-d.probedAt >= domainProbeInterval
-}
-
-// pickProbe returns an upstream among those given to probe a suspect failure domain, or nil. A
-// domain's upstreams take turns.
-func (e *Engine) pickProbe(domains []*domainState, upstreams []*upstream) *upstream {
-	for _, d := range domains {
-		if !d.probeDue(e.now) {
-			continue
-		}
-		if u := e.nextProbe(d, upstreams); u != nil {
-			d.probe, d.probedAt = u, e.now
-			return u
-		}
-	}
-	return nil
-}
-
-// probeOwn returns an upstream of the own failure domain for a probe, or nil. Copies of a SYN are
-// not used for probes, since their client has waited already.
-func (e *Engine) probeOwn(p *pool, exclude *upstream) *upstream {
-	if exclude != nil || len(p.local) == 0 {
-		return nil
-	}
-	return e.pickProbe(p.domains[:1], p.local)
-}
-
-// probeOther returns an upstream of any failure domain for a probe, or nil.
-func (e *Engine) probeOther(p *pool, exclude *upstream) *upstream {
-	if exclude != nil {
-		return nil
-	}
-	return e.pickProbe(p.domains, p.all)
-}
-
-// nextProbe returns the unproven upstream of d whose turn it is, or nil: the one whose last SYN
-// since d became suspect is the oldest. Each VM has an order of its own, so that they don't all
-// send their flows to the same upstream once it answers.
-func (e *Engine) nextProbe(d *domainState, upstreams []*upstream) (next *upstream) {
-	for _, u := range upstreams {
-		if u.domain != d || !u.unproven() || !e.takesFlows(u) || e.gone(u) || e.outOfQuota(u) || e.leftToHolders(u) {
-			continue
-		}
-		if next == nil || e.probedBefore(u, next) {
-			next = u
-		}
-	}
-	return next
-}
-
-// probedBefore reports whether it is the turn of a before that of b, of the same domain.
-func (e *Engine) probedBefore(a, b *upstream) bool {
-	turnA, turnB := max(a.lastSYN, a.domain.suspectSince), max(b.lastSYN, b.domain.suspectSince)
-	if turnA != turnB {
-		return turnA < turnB
-	}
-	return sparrank.Weight(e.probeSeed, a.ID) > sparrank.Weight(e.probeSeed, b.ID)
-}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -57,15 +57,14 @@
 		openings  []opening     // SYNs whose response is not yet due, oldest first
 		checkedAt time.Duration // last check of openings
 		pausedAt  time.Duration // end of the last pause of this VM
-		distrust  bool          // set by best, for its service: suspect failure domains are avoided, unless all are suspect
+		distrust  bool          // set by assess, for one service: suspect failure domains are avoided, unless all are suspect
 		services  map[string]*serviceState
 		observed  []*upstream // with counts for the next Observations
 		pressed   bool
 		loadAt    time.Duration // last count of the requests under way
 		probeSeed int           // of this VM, in the ranking of upstreams to probe
 		marks     map[uint64]*upstream
-		suspects  []*upstream      // for the next Suspects
-		waiting   []waitingRequest // not yet overdue, oldest first
+		suspects  []*upstream // for the next Suspects
 		flows     map[flowKey]*flow
 		maxFlows  int
 		lastSweep time.Duration
@@ -121,6 +120,9 @@
 		underWay        int                 // requests under way of flows on record
 		seen            sparevidence.Counts // since the last Observations
 		isObserved      bool                // it is in Engine.observed
+		progressed      bool                // a response went on since the last Observations
+		hanging         bool                // a request hangs since then, see noteHanging
+		answeredAt      time.Duration       // last request that was answered, or last progress of a response
 		ejectedAt       time.Duration       // when its weight became 0 last
 		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
 		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -44,12 +44,12 @@
 	return u.death.replacedAt > 0 && (u.removed || u.aliveAt <= u.death.replacedAt)
 }
 
-// noteSuspect records that the pending request of f was retransmitted or is overdue and that u has answered
+// noteSuspect records that the pending request of f was retransmitted or hangs and that u has answered
 // no client of this VM since it came. A VM that was just paused may not have read the responses. An
 // upstream that drains is about to stop, and mayReset knows what to do with its flows.
 func (e *Engine) noteSuspect(f *flow) {
 	u := f.upstream
-	if f.requestedAt == 0 || u.Draining || e.now-e.pausedAt < catchUpTime {
+	if f.requestedAt == 0 || u.Draining || e.JustPaused() {
 		return
 	}
 	u.death.askedFor = max(u.death.askedFor, f.requestedAt)
--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -29,9 +29,11 @@
 	record struct {
 		tally
 		openedAt     time.Duration // last opening that was answered
-		answeredAt   time.Duration // last request that was answered
+		answeredAt   time.Duration // last request that was answered, or last progress of a response
 		failedAt     time.Duration // last failure
 		failingSince time.Duration // first failure since the last answered request, or 0
+		hangingSince time.Duration // first request that hangs since then, or 0
+		hungAt       time.Duration // last one
 	}
 
 	// serviceRecord is what this VM has seen of one service.
@@ -87,6 +89,7 @@
 	}
 	for id, u := range before {
 		if b.upstreams[id] != u {
+			b.forgetFailures(u)
 			delete(b.own, id)
 			delete(b.subjects, id)
 			for _, s := range b.heard {
@@ -97,8 +100,23 @@
 	for service := range b.ownService {
 		if b.services[service] == 0 {
 			delete(b.ownService, service)
+			delete(b.told, service)
 		}
 	}
+	for _, s := range b.heard {
+		s.forgetServices(b.services)
+	}
+}
+
+// forgetFailures takes the failures and slow answers of an upstream out of the counts of its service. Its
+// answers stay: their times are part of the usual response time.
+func (b *Board) forgetFailures(u Upstream) {
+	r, s := b.own[u.ID], b.ownService[u.Service]
+	if r == nil || s == nil {
+		return
+	}
+	c := r.value(s.at) // the service has the later count
+	s.counts = s.counts.plus(Counts{Unanswered: c.Unanswered, Slow: c.Slow, Failed: c.Failed}.times(-1)).atLeastZero()
 }
 
 // Observe adds what this VM has seen since the last call.
@@ -106,7 +124,7 @@
 	b.notePause(now)
 	for _, obs := range o.Upstreams {
 		if u, ok := b.upstreams[obs.ID]; ok {
-			b.observeUpstream(now, u, obs.Counts)
+			b.observeUpstream(now, u, obs)
 		}
 	}
 	for _, obs := range o.Services {
@@ -116,8 +134,8 @@
 	}
 }
 
-func (b *Board) observeUpstream(now time.Duration, u Upstream, c Counts) {
-	r := b.own[u.ID]
+func (b *Board) observeUpstream(now time.Duration, u Upstream, obs Observation) {
+	r, c := b.own[u.ID], obs.Counts
 	if r == nil {
 		r = &record{}
 		b.own[u.ID] = r
@@ -128,14 +146,15 @@
 	if c.Opened > 0 {
 		r.openedAt = now
 	}
-	if c.Answered > 0 {
-		r.answeredAt, r.failingSince = now, 0
-		b.noteAnswers(u.ID, c.Answered)
-		b.urgent = b.urgent || b.answersWanted(u.ID) // others may be about to eject it
+	if c.Answered > 0 || obs.Progressed {
+		b.noteAnswers(now, u.ID, c.Answered)
+	}
+	if obs.Hanging && r.answeredAt != now {
+		b.noteHanging(now, u.ID)
 	}
 	if c.Failures() > 0 {
 		r.failedAt = now
-		if r.failingSince == 0 && c.Answered == 0 {
+		if r.failingSince == 0 && r.answeredAt != now {
 			r.failingSince = now
 		}
 		b.subject(u.ID, now).ownFailure = now
@@ -147,6 +166,17 @@
 	}
 }
 
+// noteAnswers notes a sign that an upstream answers, and n answered requests.
+func (b *Board) noteAnswers(now time.Duration, id uint64, n float64) {
+	r := b.own[id]
+	r.answeredAt, r.failingSince, r.hangingSince = now, 0, 0
+	if s := b.subjects[id]; s != nil {
+		s.answers += n
+		b.changed = b.changed || s.weight == 0
+	}
+	b.urgent = b.urgent || b.answersWanted(id) // others may be about to eject it
+}
+
 func (b *Board) observeService(now time.Duration, obs ServiceObservation) {
 	s := b.service(obs.Service)
 	s.waited = s.waited.with(now, Counts{Answered: obs.Waited.Seconds()})
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -2,8 +2,8 @@
 //
 // A VM of a large deployment sees each upstream rarely. A Board holds what this VM has seen
 // and what others report, and derives a weight for new flows per upstream: 1, less, or 0 for
-// an ejected one. Only evidence of two VMs changes a weight. What one VM sees alone is the
-// business of its own engine:
+// an ejected one. Only evidence of two VMs changes a weight, and that of four while requests merely
+// hang. What one VM sees alone is the business of its own engine:
 //
 //	b := sparevidence.New("vm-1", run)
 //	b.SetVMs(vms)
@@ -60,8 +60,10 @@
 
 	// Observation is what a VM has seen of an upstream since the last one.
 	Observation struct {
-		ID     uint64
-		Counts Counts
+		ID         uint64
+		Counts     Counts
+		Progressed bool // a response that is under way went on
+		Hanging    bool // a request waits for long whose flow may have moved, and none was answered since it came
 	}
 
 	// ServiceObservation is what a VM has seen of a service since the last one.
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -42,7 +42,7 @@
 		// Ages when the report was sent, or Never.
 		Answered time.Duration // of the last answered request
 		Failed   time.Duration // of the last failure
-		Streak   time.Duration // of the first failure since the last answered request
+		Streak   time.Duration // of the first failure since the last answered request; with Failed Never, of the first one that hangs
 	}
 
 	// ServiceEntry is what the sender of a report has seen of a service.
@@ -68,6 +68,7 @@
 		Seen, Bad int           // upstreams seen lately; those of them that answered nothing
 		Upstreams []Entry
 		Services  []ServiceEntry
+		Partial   bool // other services are in the reports before and after it
 	}
 
 	// source is the last report of another VM.
@@ -79,7 +80,14 @@
 		at          time.Duration // when it was sent, by the clock of this VM
 		sick        bool
 		entries     map[uint64]heardEntry
-		services    map[string]ServiceEntry
+		services    map[string]heardService
+		partial     bool // services may be in the reports before the last one alone
+	}
+
+	// heardService is an entry by the clock of this VM.
+	heardService struct {
+		ServiceEntry
+		at time.Duration
 	}
 
 	// heardEntry is an entry by the clock of this VM. Its times are 0 for never.
@@ -88,6 +96,7 @@
 		failedAt     time.Duration
 		answeredAt   time.Duration
 		failingSince time.Duration // first failure since the last answer
+		hangingSince time.Duration // first request that hangs since then
 	}
 )
 
@@ -115,11 +124,41 @@
 			s.entries[e.ID] = b.hear(s, e)
 		}
 	}
+	b.hearServices(s, b.heard[r.From], r)
 	b.heard[r.From] = s
 	b.changed = true
+	for id, h := range s.entries {
+		if h.hangingSince > 0 {
+			b.doubtHanging(now, id)
+		}
+	}
 	return nil
 }
 
+// hearServices adds the services of the report s, and those of the one before that a partial report
+// leaves out.
+func (b *Board) hearServices(s, before *source, r Report) {
+	if r.Partial && before != nil && before.run == s.run {
+		s.services = before.services
+	} else {
+		s.services = make(map[string]heardService, len(r.Services))
+	}
+	for _, e := range r.Services {
+		if b.services[e.Service] > 0 {
+			s.services[e.Service] = heardService{ServiceEntry: e, at: s.at}
+		}
+	}
+}
+
+// forgetServices deletes those that are not known any more.
+func (s *source) forgetServices(known map[string]int) {
+	for service := range s.services {
+		if known[service] == 0 {
+			delete(s.services, service)
+		}
+	}
+}
+
 // check returns an error if the report is larger than any VM sends, or out of range.
 func (r Report) check() error {
 	if len(r.Upstreams) > MaxEntries || len(r.Services) > MaxEntries {
@@ -158,10 +197,7 @@
 func (s *source) next(now time.Duration, r Report) (*source, error) {
 	n := &source{
 		run: r.Run, sent: r.Sent, received: now, least: now - r.Sent, sick: r.sick(),
-		entries: make(map[uint64]heardEntry, len(r.Upstreams)), services: make(map[string]ServiceEntry, len(r.Services)),
-	}
-	for _, e := range r.Services {
-		n.services[e.Service] = e
+		entries: make(map[uint64]heardEntry, len(r.Upstreams)), partial: r.Partial,
 	}
 	switch {
 	case s == nil:
@@ -190,9 +226,13 @@
 	if !s.sick && bad(e.Counts) {
 		b.subject(e.ID, s.received)
 	}
-	return heardEntry{
+	h := heardEntry{
 		counts: e.Counts, failingSince: before(s.at, e.Streak), answeredAt: before(s.at, e.Answered), failedAt: before(s.at, e.Failed),
 	}
+	if e.Failed == Never {
+		h.failingSince, h.hangingSince = 0, h.failingSince
+	}
+	return h
 }
 
 // before returns the time that is ago before at, or 0 for Never. What happened before the start of this VM
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/verdict.go
@@ -29,6 +29,9 @@
 	// another doubles it, up to maxEjection.
 	baseEjection = 2 * time.Second
 	maxEjection  = 16 * time.Second
+	// reachTime is how long an answer shows that this VM reaches an upstream, whatever others see. Some of
+	// its own requests may be lost meanwhile.
+	reachTime = time.Second
 	// easeAfter is the age of the first evidence about an upstream from which on it may get less
 	// load: others that have answers of it report them meanwhile.
 	easeAfter = 2 * time.Second
@@ -77,7 +80,7 @@
 		since        time.Duration // first evidence
 		weight       float64
 		cause        Cause
-		doubted      bool          // two VMs see nothing but failures
+		doubted      bool          // two VMs see nothing but failures, or requests that hang
 		ejectedUntil time.Duration // 0 unless ejected
 		ejectionTime time.Duration
 		trialSince   time.Duration // 0 unless on trial
@@ -105,13 +108,6 @@
 	return s != nil && (s.doubted || s.ejectedUntil > 0 || s.trialSince > 0)
 }
 
-// noteAnswers notes answered requests of an upstream.
-func (b *Board) noteAnswers(id uint64, n float64) {
-	if s := b.subjects[id]; s != nil {
-		s.answers += n
-	}
-}
-
 // Evaluate returns the weights that have changed since the last call.
 func (b *Board) Evaluate(now time.Duration) (changes []Change) {
 	b.notePause(now)
@@ -125,12 +121,12 @@
 	b.changed, b.evaluated = false, now
 	b.expire(now)
 	m := b.newMerger(now)
-	weights := map[uint64]opinion{}
+	opinions := map[uint64]opinion{}
 	for id, s := range b.subjects {
-		weights[id] = b.judge(s, m.merge(id), m)
+		opinions[id] = b.judge(s, m.merge(id), m)
 	}
-	b.limitEjections(weights)
-	for id, o := range weights {
+	b.limitEjections(opinions)
+	for id, o := range opinions {
 		if c, ok := b.publish(id, o); ok {
 			changes = append(changes, c)
 		}
