sparadmit: rejections are not learnt as response times

Cause: a full upstream rejects at once. While slots are taken the response time without queueing may fall, and the medians of windows that are mostly rejections pulled it down; the allowed delay falls with it, so that more is refused than needed.

Ruled out: leaving rejections out always (a service that has become more than twice as fast would never be learnt: TestFasterServiceIsLearnt).

Change: a response in less than half of the usual time is left out while slots are taken.

--- a/internal/route/sparadmit/times.go
+++ b/internal/route/sparadmit/times.go
@@ -57,15 +57,24 @@
 // queueing returns how long a request has queued, in parts of the allowed time. ok is false if
 // nothing can be said: the base is unknown, or the response is likely a rejection.
 func (t *Times) queueing(waited time.Duration) (parts float64, ok bool) {
-	if t.base == 0 || float64(waited) < rejectedShare*float64(t.base) {
+	if t.base == 0 || t.rejected(waited) {
 		return 0, false
 	}
 	return max(0, float64(waited-t.base)/float64(t.Allowed())), true
 }
 
+// rejected reports whether a response is likely the rejection of a full upstream.
+func (t *Times) rejected(waited time.Duration) bool {
+	return float64(waited) < rejectedShare*float64(t.base)
+}
+
 // observe updates the response time without queueing: the mean of the medians of windows. While
-// slots are taken it may fall but not rise, so that an overload isn't taken for normal.
+// slots are taken it may fall but not rise, so that an overload isn't taken for normal, and
+// rejections are left out. While slots are free upstreams reject little: the service has become faster.
 func (t *Times) observe(now, waited time.Duration, slotsFree bool) {
+	if !slotsFree && t.rejected(waited) {
+		return
+	}
 	if t.count == 0 {
 		t.began = now
 	}
