sparevidence: VMs that don't report their load count as idle, absurd reports are capped

Cause: VMs report their load while they believe that half of the slots are at work, so those that report have more callers than the mean. Board.Load took their mean for that of all VMs of the domain: one busy VM heard of a far domain stood for all of it. A single report of any size went into the sum unchecked.

Change: the sum is scaled by the VMs that would report to this one (all peers of its own domain, two of each other one); a report counts at most as eight times the median of those heard.

Ruled out: asking idle VMs for their load (needs a field in the report, and an answer to the asker).

--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -2,12 +2,20 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
-// refusedSpan is how long refused openings count.
-const refusedSpan = time.Second
+const (
+	// refusedSpan is how long refused openings count.
+	refusedSpan = time.Second
+	// maxLoadRatio is the multiple of the median load from which on that of a VM is not believed:
+	// callers are uneven, but not by so much.
+	maxLoadRatio = 8
+	// minLoads is the number of VMs whose median says something.
+	minLoads = 3
+)
 
 // Load is how much work is under way at a service, from this VM and those that it has heard.
 type Load struct {
@@ -18,11 +26,19 @@
 	Whole    bool          // each failure domain is heard, and half of the VMs of the own one
 }
 
-// domainSum is the sum of the loads of the VMs heard in one failure domain.
-type domainSum struct {
-	vms               int
-	requests, refused float64
-}
+type (
+	// vmLoad is the load of one VM.
+	vmLoad struct {
+		domain            string
+		requests, refused float64
+	}
+
+	// domainSum is the sum of the loads of the VMs heard in one failure domain.
+	domainSum struct {
+		vms               int
+		requests, refused float64
+	}
+)
 
 // SetPressed sets whether the load is high enough that other VMs should know it.
 func (b *Board) SetPressed(pressed bool) { b.pressed = pressed }
@@ -32,35 +48,72 @@
 
 // Load returns the load of a service. Reports count for two of their intervals.
 func (b *Board) Load(service string, now time.Duration) (l Load) {
+	loads, oldest := b.loads(service, now)
+	most := mostRequests(loads)
 	sums := map[string]domainSum{}
-	if s := b.ownService[service]; s != nil {
-		sums[b.vms[b.self].Domain] = domainSum{vms: 1, requests: float64(total(s.load)), refused: s.refused}
-	}
-	for name, s := range b.heard {
-		e, age := s.services[service], now-s.at
-		if age > 2*reportEvery {
-			continue
-		}
-		l.Oldest = max(l.Oldest, age)
-		sum := sums[b.vms[name].Domain]
+	for _, load := range loads {
+		sum := sums[load.domain]
 		sum.vms++
-		sum.refused += e.Refused
-		for _, d := range e.Load {
-			sum.requests += float64(d.Requests)
-		}
-		sums[b.vms[name].Domain] = sum
+		sum.requests += min(load.requests, most)
+		sum.refused += load.refused
+		sums[load.domain] = sum
 	}
 	for domain, sum := range sums {
-		scale := float64(max(b.domainVMs[domain], sum.vms)) / float64(sum.vms)
+		scale := float64(b.domainVMs[domain]) / float64(max(sum.vms, b.reporters(domain)))
 		l.VMs += sum.vms
 		l.Requests += sum.requests * scale
 		l.Refused += sum.refused * scale
 	}
 	near := sums[b.vms[b.self].Domain].vms - 1
+	l.Oldest = oldest
 	l.Whole = l.VMs > 1 && len(sums) == len(b.domainVMs) && 2*near >= b.expected()
 	return l
 }
 
+// loads returns the load of this VM and of those that have reported lately, and the age of the
+// oldest of their reports.
+func (b *Board) loads(service string, now time.Duration) (list []vmLoad, oldest time.Duration) {
+	if s := b.ownService[service]; s != nil {
+		list = append(list, vmLoad{domain: b.vms[b.self].Domain, requests: float64(total(s.load)), refused: s.refused})
+	}
+	for name, s := range b.heard {
+		age := now - s.at
+		if age > 2*reportEvery {
+			continue
+		}
+		oldest = max(oldest, age)
+		e := s.services[service]
+		load := vmLoad{domain: b.vms[name].Domain, refused: e.Refused}
+		for _, d := range e.Load {
+			load.requests += float64(d.Requests)
+		}
+		list = append(list, load)
+	}
+	return list, oldest
+}
+
+// mostRequests returns the number of requests from which on the load of a VM is not believed.
+func mostRequests(loads []vmLoad) float64 {
+	if len(loads) < minLoads {
+		return math.Inf(1)
+	}
+	var requests []float64
+	for _, load := range loads {
+		requests = append(requests, load.requests)
+	}
+	slices.Sort(requests)
+	return maxLoadRatio * max(requests[len(requests)/2], 1)
+}
+
+// reporters returns the number of VMs of a failure domain that tell this VM their load while it is
+// high, with this one. Those that are silent count as idle.
+func (b *Board) reporters(domain string) int {
+	if domain == b.vms[b.self].Domain {
+		return b.expected() + 1
+	}
+	return min(b.domainVMs[domain], loadPeers)
+}
+
 func total(load map[string]int) (n int) {
 	for _, requests := range load {
 		n += requests
