sparadmit: flows are refused only if requests on new flows queue

Cause: a VM whose flows are bound to a busy failure domain saw its responses queue, and its own load times the number of VMs (or the requests that queue there, in reports) were as many as the slots, while slots of other domains were free.

Without response times, a third of the responses must be late. A VM remembers from views which part of the load it has, so that its own load is multiplied by less where its callers are more than the mean. 1.25 requests per slot begin an overload (1.0 before): the load of the others is an estimate. Views are averaged over a second until flows are refused.

Weighed: the delay at upstreams of each failure domain (a domain that is down never answers; few responses by domain); no response without delay in a window (chance gives some in any overload); own load counts only after a view (a fleet without reports would admit everything).

--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -7,7 +7,7 @@
 //	l.SetPool(slots, vms)
 //	route := sparadmit.NewTimes(400 * time.Millisecond)
 //	l.Request(now)
-//	l.Response(now, route, waited)
+//	l.Response(now, sparadmit.Answer{Route: route, Waited: waited, Placed: placed})
 //	if !l.Admit(now, sparadmit.Opening{Client: client, Priority: 2}) {
 //		// refuse the flow
 //	}
@@ -41,9 +41,12 @@
 	// maxPath is the wait for a SYN-ACK from which the SYN may have been retransmitted.
 	maxPath = 150 * time.Millisecond
 
-	// fullLoad is the number of requests under way per slot from which all slots are taken.
-	fullLoad = 1.0
-	// fullLoadRefusing replaces fullLoad while flows are refused: this VM may refuse more than others.
+	// fullLoad is the number of requests under way per slot from which all slots are taken. The load of
+	// the other VMs is an estimate, and requests on the path count in it.
+	fullLoad = 1.25
+	// fullLoadViewed and fullLoadRefusing replace fullLoad while flows are refused, with a recent
+	// view and without one: then this VM may refuse more than others.
+	fullLoadViewed   = 1.0
 	fullLoadRefusing = 0.5
 	// lowLoad is the number of requests under way per slot below which few requests queue.
 	lowLoad = 0.7
@@ -75,23 +78,33 @@
 		Refused  float64 // share of new flows that is refused
 		Pending  float64 // requests under way at all VMs
 		Slots    int
-		Queueing float64       // median queueing delay, as a multiple of the allowed one
+		Queueing float64       // median queueing delay that counts, as a multiple of the allowed one
 		Response time.Duration // mean response time
 		Service  time.Duration // time that a request occupies a slot
 		Began    time.Duration // start of the overload, or 0
 	}
 
+	// Answer is the response to a request.
+	Answer struct {
+		Route  *Times
+		Waited time.Duration // since the request
+		Placed time.Duration // when this VM placed its flow, 0 if another VM did
+	}
+
 	// Limiter is the admission state of one service. Create it with New.
 	Limiter struct {
 		view     View
 		viewAt   time.Duration
+		viewMean float64 // requests under way by the views of the last second
 		ownVMs   int
 		ownSlots int
+		perOwn   float64 // requests under way at all VMs for each of this VM, by views; 0 if unknown
 
 		began    time.Duration // start of the window
 		requests int           // in the window
 		waited   time.Duration // sum over the responses of the window
 		answered int           // responses in the window
+		late     int           // those that took longer than their objective lets a request queue
 		queued   []float64     // queueing delays in the window, as a multiple of the allowed ones
 
 		rate     float64 // requests per second
@@ -101,6 +114,7 @@
 		queueing float64 // median of the last window
 		windows  int     // that have ended
 		delayed  int     // windows in a row with overload
+		placed   placedDelays
 		refused  float64 // share of new flows
 		since    time.Duration
 		lastShed time.Duration
@@ -115,8 +129,17 @@
 func (l *Limiter) SetPool(slots, vms int) { l.ownSlots, l.ownVMs = slots, max(vms, 1) }
 
 // SetView sets the load at all VMs. Without a recent one, a Limiter takes its own load for that
-// of each VM.
-func (l *Limiter) SetView(now time.Duration, v View) { l.view, l.viewAt = v, now }
+// of each VM, unless earlier views have shown that its load is above the mean.
+func (l *Limiter) SetView(now time.Duration, v View) {
+	if !l.viewed(now) {
+		l.viewMean = 0
+	}
+	l.view, l.viewAt = v, now
+	l.viewMean = mix(l.viewMean, v.Pending, viewCount)
+	if own := l.pending(now); own >= minOwnPending {
+		l.perOwn = mix(l.perOwn, v.Pending/own, meanCount)
+	}
+}
 
 // Request records a request that is sent to an upstream.
 func (l *Limiter) Request(now time.Duration) {
@@ -124,18 +147,24 @@
 	l.requests++
 }
 
-// Response records the response to a request of a route.
-func (l *Limiter) Response(now time.Duration, route *Times, waited time.Duration) {
+// Response records the response to a request.
+func (l *Limiter) Response(now time.Duration, a Answer) {
 	l.Advance(now)
 	l.answered++
-	l.waited += waited
-	if q, ok := route.queueing(waited); ok && len(l.queued) < maxResponses {
-		l.queued = append(l.queued, q)
+	l.waited += a.Waited
+	if a.Route.late(a.Waited) {
+		l.late++
+	}
+	if q, ok := a.Route.queueing(a.Waited); ok {
+		l.placed.add(now, a.Placed, q)
+		if len(l.queued) < maxResponses {
+			l.queued = append(l.queued, q)
+		}
 	}
 	slotsFree := l.windows >= minWindows && l.perSlot(now) < lowLoad
-	route.observe(now, waited, slotsFree)
-	if route.base > 0 {
-		l.base = approach(l.base, route.base)
+	a.Route.observe(now, a.Waited, slotsFree)
+	if a.Route.base > 0 {
+		l.base = approach(l.base, a.Route.base)
 	}
 }
 
@@ -159,20 +188,16 @@
 	l.windows++
 	l.average(length)
 	l.control(now, min(length, maxInterval))
-	l.began, l.requests, l.waited, l.answered = now, 0, 0, 0
+	l.began, l.requests, l.waited, l.answered, l.late = now, 0, 0, 0, 0
 	l.queued = l.queued[:0]
 }
 
 // control sets the share of refused flows from a window.
 func (l *Limiter) control(now, length time.Duration) {
-	before := l.queueing
-	l.queueing = l.median(now)
-	if l.queueing > 1 {
-		l.delayed++
-	} else {
-		l.delayed = 0
-	}
-	if l.refused == 0 && l.delayed < startWindows {
+	before, queueing := l.queueing, l.median(now)
+	l.countDelayed(now, queueing > 1)
+	l.queueing = l.confirmed(now, queueing)
+	if l.refused == 0 && (l.delayed < startWindows || l.queueing <= 1) {
 		l.end(now)
 		return
 	}
@@ -194,6 +219,18 @@
 	}
 }
 
+// countDelayed counts the windows in a row in which requests have queued for longer than allowed.
+func (l *Limiter) countDelayed(now time.Duration, delayed bool) {
+	if !delayed {
+		l.delayed = 0
+		return
+	}
+	if !l.Delayed() {
+		l.placed.reset(now)
+	}
+	l.delayed++
+}
+
 // share returns the share of new flows that is refused.
 func (l *Limiter) share() float64 {
 	if l.refused < leastRefused {
@@ -205,12 +242,9 @@
 // median returns the median queueing delay of the window as a multiple of the allowed one, or 0
 // while slots are free.
 func (l *Limiter) median(now time.Duration) float64 {
-	perSlot, taken := l.perSlot(now), fullLoad
-	if l.refused > 0 {
-		taken = fullLoadRefusing
-	}
+	perSlot := l.perSlot(now)
 	switch {
-	case perSlot < taken, l.relieved(now):
+	case perSlot < l.fullLoad(now), l.relieved(now):
 		return 0
 	case len(l.queued) >= minResponses:
 		slices.Sort(l.queued)
@@ -221,6 +255,17 @@
 	return 0
 }
 
+// fullLoad returns the requests under way per slot from which all slots are taken.
+func (l *Limiter) fullLoad(now time.Duration) float64 {
+	switch {
+	case l.refused == 0:
+		return fullLoad
+	case l.viewed(now):
+		return fullLoadViewed
+	}
+	return fullLoadRefusing
+}
+
 // end ends an overload after some time without refusals.
 func (l *Limiter) end(now time.Duration) {
 	if l.since > 0 && now-l.lastShed >= quietTime {
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -9,8 +9,12 @@
 	loadSpan = 500 * time.Millisecond
 	// reliefTime is the least time over which fewer requests show that the demand has fallen.
 	reliefTime = 200 * time.Millisecond
-	// meanCount is the number of samples that the means of base and path reach back.
+	// meanCount is the number of samples that the means of base, path and views reach back.
 	meanCount = 64
+	// viewCount is the number of views in a second.
+	viewCount = 20
+	// minOwnPending is the number of requests under way at this VM from which views show its part of the load.
+	minOwnPending = 1.0
 )
 
 // View is the load of a service at all VMs, by their reports.
@@ -68,7 +72,7 @@
 	if l.answered > 0 {
 		response = l.waited.Seconds() / float64(l.answered)
 	}
-	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path) * float64(l.ownVMs)
+	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path) * l.scale()
 	return pending < fullLoadRefusing*float64(l.ownSlots)
 }
 
@@ -84,9 +88,23 @@
 // load returns the load at all VMs.
 func (l *Limiter) load(now time.Duration) View {
 	if l.viewed(now) {
-		return l.view
+		v := l.view
+		if l.refused == 0 {
+			v.Pending = min(v.Pending, l.viewMean) // a peak by chance is no overload
+		}
+		return v
 	}
-	return View{Pending: l.pending(now) * float64(l.ownVMs), Slots: l.ownSlots, VMs: l.ownVMs}
+	return View{Pending: l.pending(now) * l.scale(), Slots: l.ownSlots, VMs: l.ownVMs}
+}
+
+// scale returns the factor from the load of this VM to that of all VMs without a recent view. Views may
+// lower it alone: a VM with few callers can't tell the load of the others from its own.
+func (l *Limiter) scale() float64 {
+	vms := float64(l.ownVMs)
+	if l.perOwn == 0 {
+		return vms
+	}
+	return min(vms, l.perOwn)
 }
 
 // viewed reports whether there are recent figures of all VMs.
@@ -96,8 +114,13 @@
 
 // approach returns the mean of the last samples in seconds, with one more sample.
 func approach(mean float64, sample time.Duration) float64 {
+	return mix(mean, sample.Seconds(), meanCount)
+}
+
+// mix returns the mean of the last n samples, roughly, with one more.
+func mix(mean, sample, n float64) float64 {
 	if mean == 0 {
-		return sample.Seconds()
+		return sample
 	}
-	return mean + (sample.Seconds()-mean)/meanCount
+	return mean + (sample-mean)/n
 }
--- a/internal/route/sparadmit/times.go
+++ b/internal/route/sparadmit/times.go
@@ -68,6 +68,11 @@
 	return float64(waited) < rejectedShare*float64(t.base)
 }
 
+// late reports whether a response took longer than the objective lets a request queue.
+func (t *Times) late(waited time.Duration) bool {
+	return t.objective > 0 && float64(waited) > objectiveShare*float64(t.objective)
+}
+
 // observe updates the response time without queueing: the mean of the medians of windows. While
 // slots are taken it may fall but not rise, so that an overload isn't taken for normal, and
 // rejections are left out. While slots are free upstreams reject little: the service has become faster.
--- a/internal/route/sparcookie/admit.go
+++ b/internal/route/sparcookie/admit.go
@@ -73,7 +73,7 @@
 	case obs.first:
 		l.Opened(obs.waited)
 	case s.Size == 0:
-		l.Response(e.now, rec.timesOf(service), obs.waited)
+		l.Response(e.now, sparadmit.Answer{Route: rec.timesOf(service), Waited: obs.waited, Placed: f.placedAt})
 	}
 }
 
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -29,6 +29,7 @@
 	flow struct {
 		upstream     *upstream
 		began        time.Duration // time of the first SYN
+		placedAt     time.Duration // time of the last SYN, 0 if another VM placed the flow
 		lastProgress time.Duration // last packet that the client received, or last SYN sent
 		requestedAt  time.Duration // arrival of the pending request, or 0
 		lastSeen     time.Duration // last packet of the client
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -64,7 +64,7 @@
 // recordSYN records a SYN sent to u. began is the time of the first SYN of the flow.
 func (e *Engine) recordSYN(key flowKey, u *upstream, began time.Duration) {
 	e.forget(key)
-	f := &flow{upstream: u, began: began, lastProgress: e.now, lastSeen: e.now}
+	f := &flow{upstream: u, began: began, placedAt: e.now, lastProgress: e.now, lastSeen: e.now}
 	e.record(key, f)
 	e.chargeOpening(f)
 	if u.pendingSince == 0 {
