sparadmit: delays on the path of a VM's packets are no queue at upstreams

The time on the path is subtracted from the load, but was not from the queueing delay; and from the response time without queueing, so that the service time fell to 0, which also decides when a failure domain is full.

Change: the path is the median of the last 32 waits for SYN-ACKs (a mean of those below 150 ms before); what it exceeds the usual path by is subtracted from each response time. The usual path falls with it and rises as slowly as the response time without queueing, while slots are free. The service time is that of the usual path.

TestBusyLink failed first: 1,629 of 14,781 (60 ms) and 7,125 of 14,903 requests (300 ms) refused at 60% of the slots, the service time 0.

--- a/internal/route/sparadmit/fleet_test.go
+++ b/internal/route/sparadmit/fleet_test.go
@@ -31,6 +31,7 @@
 		domain      int
 		share       float64 // of the callers
 		lost        bool
+		delay       time.Duration // of packets at its link
 		pausedUntil time.Duration
 		limiter     *sparadmit.Limiter
 		times       []*sparadmit.Times // by kind
@@ -166,7 +167,9 @@
 
 // send sends a request to an upstream.
 func (p *pool) send(r *request) {
-	r.vm.limiter.Opened(path)
+	v := r.vm
+	opened := path + v.delay
+	p.after(opened, func() { v.limiter.Opened(opened) })
 	r.vm.limiter.Request(p.now)
 	r.at = p.place(r)
 	r.vm.open[r.at]++
@@ -254,6 +257,16 @@
 		p.after(wait, func() { p.respond(r) })
 		return
 	}
+	if v.delay > 0 {
+		p.after(v.delay, func() { p.observe(r) })
+		return
+	}
+	p.observe(r)
+}
+
+// observe lets the VM of a request see its response.
+func (p *pool) observe(r *request) {
+	v := r.vm
 	v.open[r.at] = max(v.open[r.at]-1, 0) // 0 after a restart
 	if !v.lost {
 		v.limiter.Response(p.now, sparadmit.Answer{Route: v.times[r.kind], Waited: p.now - r.sent, Placed: r.placed})
--- a/internal/route/sparadmit/free_test.go
+++ b/internal/route/sparadmit/free_test.go
@@ -100,3 +100,21 @@
 	p.run(5*time.Second, 8)
 	p.wantNoRefusals(t)
 }
+
+// TestBusyLink covers VMs whose links delay all packets at 60% of the slots: SYN-ACKs tell that
+// requests wait there, and not for slots.
+func TestBusyLink(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"some": 60 * time.Millisecond, "much": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := newSite(false, lookups, orders)
+			for _, v := range p.vms[:8] {
+				v.share, v.delay = 3, delay
+			}
+			p.run(10*time.Second, 6)
+			p.wantNoRefusals(t)
+			service := p.vms[0].limiter.ServiceTime().Seconds() / lookups.work.Seconds()
+			wantAtLeast(t, "time that a request occupies a slot, as a part of the true one", service, 0.7)
+			wantAtMost(t, "time that a request occupies a slot, as a part of the true one", service, 1.5)
+		})
+	}
+}
--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -34,12 +34,12 @@
 	// manyResponses is the number of responses that ends a window even if few of them tell the
 	// queueing delay.
 	manyResponses = 3 * minResponses
-	// startWindows is the number of windows in a row that begin an overload.
-	startWindows = 3
+	// startWindows is the number of windows in a row that begin an overload, and startQueueing the
+	// multiple of the allowed delay that the last one needs: short queues come by chance.
+	startWindows  = 3
+	startQueueing = 4.0 / 3
 	// minWindows is the number of windows after which the requests under way are known.
 	minWindows = 3
-	// maxPath is the wait for a SYN-ACK from which the SYN may have been retransmitted.
-	maxPath = 150 * time.Millisecond
 
 	// fullLoad is the number of requests under way per slot from which all slots are taken. The load of
 	// the other VMs is an estimate, and requests on the path count in it.
@@ -110,7 +110,7 @@
 		rate     float64 // requests per second
 		response float64 // mean response time in seconds
 		base     float64 // mean response time without queueing, in seconds
-		path     float64 // mean wait for a SYN-ACK, in seconds: the same way without work
+		path     path
 		queueing float64 // median of the last window
 		windows  int     // that have ended
 		delayed  int     // windows in a row with overload
@@ -152,28 +152,24 @@
 	l.Advance(now)
 	l.answered++
 	l.waited += a.Waited
-	if a.Route.late(a.Waited) {
+	waited := a.Waited - l.path.excess()
+	if a.Route.late(waited) {
 		l.late++
 	}
-	if q, ok := a.Route.queueing(a.Waited); ok {
+	if q, ok := a.Route.queueing(waited); ok {
 		l.placed.add(now, a.Placed, q)
 		if len(l.queued) < maxResponses {
 			l.queued = append(l.queued, q)
 		}
 	}
-	slotsFree := l.windows >= minWindows && l.perSlot(now) < lowLoad
-	a.Route.observe(now, a.Waited, slotsFree)
+	a.Route.observe(now, waited, l.slotsFree(now))
 	if a.Route.base > 0 {
 		l.base = approach(l.base, a.Route.base)
 	}
 }
 
 // Opened records the wait for a SYN-ACK. It is the time that packets are under way.
-func (l *Limiter) Opened(waited time.Duration) {
-	if waited < maxPath {
-		l.path = approach(l.path, waited)
-	}
-}
+func (l *Limiter) Opened(waited time.Duration) { l.path.add(waited) }
 
 // Advance ends the window of observations if it is due.
 func (l *Limiter) Advance(now time.Duration) {
@@ -187,6 +183,7 @@
 	}
 	l.windows++
 	l.average(length)
+	l.path.update(min(length, maxInterval), l.slotsFree(now))
 	l.control(now, min(length, maxInterval))
 	l.began, l.requests, l.waited, l.answered, l.late = now, 0, 0, 0, 0
 	l.queued = l.queued[:0]
@@ -197,7 +194,7 @@
 	before, queueing := l.queueing, l.median(now)
 	l.countDelayed(now, queueing > 1)
 	l.queueing = l.confirmed(now, queueing)
-	if l.refused == 0 && (l.delayed < startWindows || l.queueing <= 1) {
+	if l.refused == 0 && (l.delayed < startWindows || l.queueing < startQueueing) {
 		l.end(now)
 		return
 	}
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -9,7 +9,7 @@
 	loadSpan = 500 * time.Millisecond
 	// reliefTime is the least time over which fewer requests show that the demand has fallen.
 	reliefTime = 200 * time.Millisecond
-	// meanCount is the number of samples that the means of base, path and views reach back.
+	// meanCount is the number of samples that the means of base and views reach back.
 	meanCount = 64
 	// viewCount is the number of views in a second.
 	viewCount = 20
@@ -28,11 +28,11 @@
 // ServiceTime returns how long a request occupies a slot, 0 if that is unknown. Until it has
 // been seen while slots are free, it includes queueing.
 func (l *Limiter) ServiceTime() time.Duration {
-	response := l.base
-	if response == 0 {
-		response = l.response
+	seconds := l.base - l.path.usual.Seconds()
+	if l.base == 0 {
+		seconds = l.response - l.path.seconds()
 	}
-	return time.Duration(max(0, response-l.path) * float64(time.Second))
+	return time.Duration(max(0, seconds) * float64(time.Second))
 }
 
 // average updates the request rate and the mean response time from a window.
@@ -52,13 +52,13 @@
 // pending returns the requests of this VM that are under way. In a long window, the load may have
 // risen since its start.
 func (l *Limiter) pending(now time.Duration) float64 {
-	mean := l.rate * max(0, l.response-l.path)
+	mean := l.rate * max(0, l.response-l.path.seconds())
 	length := now - l.began
 	if length < interval || length > maxInterval || l.answered == 0 {
 		return mean
 	}
 	response := l.waited.Seconds() / float64(l.answered)
-	return max(mean, float64(l.requests)/length.Seconds()*max(0, response-l.path))
+	return max(mean, float64(l.requests)/length.Seconds()*max(0, response-l.path.seconds()))
 }
 
 // relieved reports whether slots have become free while flows are refused. It tells sooner than the
@@ -72,10 +72,15 @@
 	if l.answered > 0 {
 		response = l.waited.Seconds() / float64(l.answered)
 	}
-	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path) * l.scale()
+	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path.seconds()) * l.scale()
 	return pending < fullLoadRefusing*float64(l.ownSlots)
 }
 
+// slotsFree reports whether so many slots are free that few requests queue.
+func (l *Limiter) slotsFree(now time.Duration) bool {
+	return l.windows >= minWindows && l.perSlot(now) < lowLoad
+}
+
 // perSlot returns the requests under way of all VMs per slot.
 func (l *Limiter) perSlot(now time.Duration) float64 {
 	v := l.load(now)
