sparevidence: a report far above the others counts as their median

Change: a report above four times the median counts as the median. TestAbsurdLoad is as strict as the change: the sum of an absurd report is that of a usual one.

--- a/internal/route/sparevidence/load.go
+++ b/internal/route/sparevidence/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -10,9 +9,9 @@
 const (
 	// refusedSpan is how long refused openings count.
 	refusedSpan = time.Second
-	// maxLoadRatio is the multiple of the median load from which on that of a VM is not believed:
-	// callers are uneven, but not by so much.
-	maxLoadRatio = 8
+	// maxLoadRatio is the multiple of the median load from which on that of a VM is not believed, and
+	// counts as the median: callers are uneven, but not by so much.
+	maxLoadRatio = 4
 	// minLoads is the number of VMs whose median says something.
 	minLoads = 3
 )
@@ -49,12 +48,15 @@
 // Load returns the load of a service. Reports count for two of their intervals.
 func (b *Board) Load(service string, now time.Duration) (l Load) {
 	loads, oldest := b.loads(service, now)
-	most := mostRequests(loads)
+	median := medianRequests(loads)
 	sums := map[string]domainSum{}
 	for _, load := range loads {
 		sum := sums[load.domain]
 		sum.vms++
-		sum.requests += min(load.requests, most)
+		if median > 0 && load.requests > maxLoadRatio*median {
+			load.requests = median
+		}
+		sum.requests += load.requests
 		sum.refused += load.refused
 		sums[load.domain] = sum
 	}
@@ -92,17 +94,17 @@
 	return list, oldest
 }
 
-// mostRequests returns the number of requests from which on the load of a VM is not believed.
-func mostRequests(loads []vmLoad) float64 {
+// medianRequests returns the median load of a VM, a request at least, or 0 if there are too few VMs.
+func medianRequests(loads []vmLoad) float64 {
 	if len(loads) < minLoads {
-		return math.Inf(1)
+		return 0
 	}
 	var requests []float64
 	for _, load := range loads {
 		requests = append(requests, load.requests)
 	}
 	slices.Sort(requests)
-	return maxLoadRatio * max(requests[len(requests)/2], 1)
+	return max(requests[len(requests)/2], 1)
 }
 
 // reporters returns the number of VMs of a failure domain that tell this VM their load while it is
--- a/internal/route/sparevidence/ring_test.go
+++ b/internal/route/sparevidence/ring_test.go
@@ -87,7 +87,7 @@
 // TestAbsurdLoad covers a VM that reports a thousand times its load, or nothing: the sum stays near
 // that of the others.
 func TestAbsurdLoad(t *testing.T) {
-	for requests, most := range map[int]float64{3000: 5 + 8*3 + 8*3 + (3+3)*5, 1: 5 + 8*3 + 1 + (3+3)*5} {
+	for requests, most := range map[int]float64{3000: 5 + 8*3 + 3 + (3+3)*5, 1: 5 + 8*3 + 1 + (3+3)*5} {
 		now := time.Minute
 		b := newLoadBoard(now)
 		for n := 1; n < 20; n++ {
