sparadmit, sparentry: log fields, metrics and an example of admission; shorter files

The log field level of overloads and refused flows clashed with the log's own and was written as fields.level: it is refused_share now.

--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -17,10 +17,7 @@
 // to the same share without messages. A Limiter does no I/O and reads no clock.
 package sparadmit
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// interval is the least length of a window of observations.
@@ -36,40 +33,8 @@
 	// manyResponses is the number of responses that ends a window even if few of them tell the
 	// queueing delay.
 	manyResponses = 3 * minResponses
-	// startWindows is the number of windows in a row that begin an overload.
-	startWindows = 3
 	// minWindows is the number of windows after which the requests under way are known.
 	minWindows = 3
-
-	// fullLoad is the number of requests under way per slot from which all slots are taken. The load of
-	// the other VMs is an estimate, and requests on the path count in it.
-	fullLoad = 1.25
-	// fullLoadViewed and fullLoadRefusing replace fullLoad while flows are refused, with a recent
-	// view and without one: then this VM may refuse more than others.
-	fullLoadViewed   = 1.0
-	fullLoadRefusing = 0.5
-	// lowLoad is the number of requests under way per slot below which few requests queue.
-	lowLoad = 0.7
-	// overload is the number of requests under way per slot that means overload if nothing
-	// is known of response times.
-	overload = 3.0
-	// maxQueueing limits the queueing delay that the control responds to.
-	maxQueueing = 3.0
-	// integralGain is the growth of the refused share per second at twice the allowed delay.
-	integralGain = 1.0
-	// trendGain is the growth of the refused share as the delay grows by the allowed one.
-	trendGain = 0.2
-	// releaseGain replaces integralGain below half of the allowed delay, so that slots are
-	// not left free.
-	releaseGain = 2.0
-	// decay is the rate, per second, at which the refused share decays, so that the shares of VMs
-	// do not drift apart.
-	decay = 1.2
-	// leastRefused is the share below which nothing is refused: a single window of delays by chance
-	// stays below it.
-	leastRefused = 0.05
-	// quietTime is how long nothing is refused before an overload counts as over.
-	quietTime = time.Second
 )
 
 type (
@@ -77,6 +42,7 @@
 	State struct {
 		Refused  float64 // share of new flows that is refused
 		Pending  float64 // requests under way at all VMs
+		VMs      int     // on whose reports Pending rests, 1 if it is taken from this VM alone
 		Slots    int
 		Queueing float64       // median queueing delay that counts, as a multiple of the allowed one
 		Response time.Duration // mean response time
@@ -152,7 +118,7 @@
 	l.Advance(now)
 	l.answered++
 	l.waited += a.Waited
-	waited := a.Waited - l.path.excess()
+	waited := max(0, a.Waited-l.path.excess())
 	if a.Route.late(waited) {
 		l.late++
 	}
@@ -193,87 +159,6 @@
 	l.queued = l.queued[:0]
 }
 
-// control sets the share of refused flows from a window.
-func (l *Limiter) control(now, length time.Duration) {
-	before, queueing := l.queueing, l.median(now)
-	l.countDelayed(now, queueing > 1)
-	l.queueing = l.confirmed(now, queueing)
-	if l.refused == 0 && (l.delayed < startWindows || l.queueing <= 1) {
-		l.end(now)
-		return
-	}
-	gain := integralGain
-	if l.queueing < 0.5 {
-		gain = releaseGain
-	}
-	seconds := length.Seconds()
-	trend := min(max(l.queueing-before, -1), 1)
-	l.refused += gain*seconds*(l.queueing-1) + trendGain*trend - decay*seconds*l.refused
-	l.refused = min(max(l.refused, 0), 1-floor)
-	if l.share() == 0 {
-		l.end(now)
-		return
-	}
-	l.lastShed = now
-	if l.since == 0 {
-		l.since = now
-	}
-}
-
-// countDelayed counts the windows in a row in which requests have queued for longer than allowed.
-func (l *Limiter) countDelayed(now time.Duration, delayed bool) {
-	if !delayed {
-		l.delayed = 0
-		return
-	}
-	if !l.Delayed() {
-		l.placed.reset(now)
-	}
-	l.delayed++
-}
-
-// share returns the share of new flows that is refused.
-func (l *Limiter) share() float64 {
-	if l.refused < leastRefused {
-		return 0
-	}
-	return l.refused
-}
-
-// median returns the median queueing delay of the window as a multiple of the allowed one, or 0
-// while slots are free.
-func (l *Limiter) median(now time.Duration) float64 {
-	perSlot := l.perSlot(now)
-	switch {
-	case perSlot < l.fullLoad(now), l.relieved(now):
-		return 0
-	case len(l.queued) >= minResponses:
-		slices.Sort(l.queued)
-		return min(l.queued[len(l.queued)/2], maxQueueing)
-	case l.answered >= minResponses:
-		return min(perSlot/overload, maxQueueing) // response times are not known yet
-	}
-	return 0
-}
-
-// fullLoad returns the requests under way per slot from which all slots are taken.
-func (l *Limiter) fullLoad(now time.Duration) float64 {
-	switch {
-	case l.refused == 0:
-		return fullLoad
-	case l.viewed(now):
-		return fullLoadViewed
-	}
-	return fullLoadRefusing
-}
-
-// end ends an overload after some time without refusals.
-func (l *Limiter) end(now time.Duration) {
-	if l.since > 0 && now-l.lastShed >= quietTime {
-		l.since = 0
-	}
-}
-
 // Delayed reports whether responses of the last window have queued for longer than allowed.
 // Then new flows should go to all upstreams before any is refused.
 func (l *Limiter) Delayed() bool { return l.delayed > 0 || l.refused > 0 }
@@ -282,7 +167,7 @@
 func (l *Limiter) State(now time.Duration) State {
 	v := l.load(now)
 	return State{
-		Refused: l.share(), Pending: v.Pending, Slots: v.Slots, Queueing: l.queueing,
+		Refused: l.share(), Pending: v.Pending, VMs: v.VMs, Slots: v.Slots, Queueing: l.queueing,
 		Response: time.Duration(l.response * float64(time.Second)), Service: l.ServiceTime(), Began: l.since,
 	}
 }
--- a/internal/route/sparadmit/limiter_test.go
+++ b/internal/route/sparadmit/limiter_test.go
@@ -37,6 +37,29 @@
 	// true
 }
 
+// ExampleLimiter_Admit has flows of two priorities while demand is twice the slots: the urgent ones
+// are admitted, and a part of the others.
+func ExampleLimiter_Admit() {
+	const urgent, other = 1, 2
+	l := sparadmit.New()
+	l.SetPool(4, 1)
+	route := sparadmit.NewTimes(400 * time.Millisecond)
+	now := feed(l, route, time.Second, 5*time.Second, 20*time.Millisecond, 40*time.Millisecond)
+	now = feed(l, route, now, 600*time.Millisecond, 10*time.Millisecond, 150*time.Millisecond)
+	admitted := map[int]int{}
+	for n := range 100 {
+		priority := urgent + n%2
+		if l.Admit(now, sparadmit.Opening{Client: uint32(n), Priority: priority}) {
+			admitted[priority]++
+		}
+	}
+	fmt.Println("urgent flows:", admitted[urgent], "of 50")
+	fmt.Println("others refused:", admitted[other] < 50)
+	// Output:
+	// urgent flows: 50 of 50
+	// others refused: true
+}
+
 // TestSlowWithFreeSlots covers a service that has become five times slower while slots are free:
 // refusals would help no one.
 func TestSlowWithFreeSlots(t *testing.T) {
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -21,7 +21,7 @@
 type View struct {
 	Pending float64 // requests under way
 	Slots   int     // of the upstreams that take new flows
-	VMs     int
+	VMs     int     // that have reported
 	Age     time.Duration
 }
 
@@ -99,7 +99,7 @@
 		}
 		return v
 	}
-	return View{Pending: l.pending(now) * l.scale(), Slots: l.ownSlots, VMs: l.ownVMs}
+	return View{Pending: l.pending(now) * l.scale(), Slots: l.ownSlots, VMs: 1}
 }
 
 // scale returns the factor from the load of this VM to that of all VMs without a recent view. Views may
--- a/internal/vm/sparentry/admit.go
+++ b/internal/vm/sparentry/admit.go
@@ -20,8 +20,9 @@
 }
 
 func addAdmissionState(fields logrus.Fields, state sparadmit.State) {
-	fields["level"] = rounded(state.Refused)
+	fields["refused_share"] = rounded(state.Refused)
 	fields["pending"] = rounded(state.Pending)
+	fields["vms"] = state.VMs
 	fields["slots"] = state.Slots
 	fields["queueing"] = rounded(state.Queueing)
 	fields["response_ms"] = state.Response.Milliseconds()
@@ -43,11 +44,13 @@
 	vm.addEvent(what, e.Service, "", int(e.State.Pending))
 }
 
-// publishAdmission publishes the refused share of each service and the refused flows by priority.
+// publishAdmission publishes the admission state of each service and the refused flows by priority.
 func (m *metrics) publishAdmission(engine *sparcookie.Engine) {
 	for service, state := range engine.AdmissionStates() {
 		scope := m.set.Scope.Tagged(map[string]string{"service": service})
 		scope.Gauge("admission_level").Update(state.Refused)
+		scope.Gauge("admission_pending").Update(state.Pending)
+		scope.Gauge("admission_queueing").Update(state.Queueing)
 		scope.Gauge("service_seconds").Update(state.Service.Seconds())
 	}
 	rejected := engine.RejectedOpenings()
--- a/internal/vm/sparentry/export_test.go
+++ b/internal/vm/sparentry/export_test.go
@@ -15,3 +15,6 @@
 	})
 	return err
 }
+
+// AddAdmissionState adds an admission state to the fields of a log line.
+var AddAdmissionState = addAdmissionState
