--- a/internal/route/sparadmit/free_test.go
+++ b/internal/route/sparadmit/free_test.go
@@ -28,8 +28,8 @@
 }
 
 // TestBusyDomain covers open flows of one failure domain that exceed its slots, while half of the
-// slots of the others are free. The VMs there have three times the callers of the others and see requests queue, but new
-// flows find slots.
+// slots of the others are free. The VMs there have three times the callers of the others and see
+// requests queue, but new flows find slots.
 func TestBusyDomain(t *testing.T) {
 	for name, change := range map[string]func(*pool){
 		"no reports":    func(p *pool) { p.reports = false },
@@ -71,8 +71,8 @@
 	}
 }
 
-// TestBusyVMAtSlowService covers the same VM as the whole service becomes three times slower at a fifth of the slots.
-// Reports have told the VM its part of the load, also if they end then.
+// TestBusyVMAtSlowService covers the same VM as the whole service becomes three times slower at a
+// fifth of the slots. Reports have told the VM its part of the load, also if they end then.
 func TestBusyVMAtSlowService(t *testing.T) {
 	for name, reports := range map[string]bool{"reports end": false, "reports": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -25,7 +25,7 @@
 	// maxInterval ends a window that has too few responses, and maxRefusing one while flows are refused: a
 	// VM that refuses most of its flows sees little, also when the overload is over.
 	maxInterval = time.Second
-	maxRefusing = 400 * time.Millisecond
+	maxRefusing = 300 * time.Millisecond
 	// minResponses is the number of responses that a window needs for a decision.
 	minResponses = 8
 	// maxResponses is the number of responses of a window that are kept.
