--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -7,7 +7,7 @@
 //	l.SetPool(slots, vms)
 //	route := sparadmit.NewTimes(400 * time.Millisecond)
 //	l.Request(now)
-//	l.Response(now, route, waited)
+//	l.Response(now, sparadmit.Answer{Route: route, Waited: waited, Placed: placed})
 //	if !l.Admit(now, sparadmit.Opening{Client: client, Priority: 2}) {
 //		// refuse the flow
 //	}
@@ -17,16 +17,15 @@
 // to the same share without messages. A Limiter does no I/O and reads no clock.
 package sparadmit
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// interval is the least length of a window of observations.
 	interval = 100 * time.Millisecond
-	// maxInterval ends a window that has too few responses.
+	// maxInterval ends a window that has too few responses, and maxRefusing one while flows are refused: a
+	// VM that refuses most of its flows sees little, also when the overload is over.
 	maxInterval = time.Second
+	maxRefusing = 300 * time.Millisecond
 	// minResponses is the number of responses that a window needs for a decision.
 	minResponses = 8
 	// maxResponses is the number of responses of a window that are kept.
@@ -34,39 +33,8 @@
 	// manyResponses is the number of responses that ends a window even if few of them tell the
 	// queueing delay.
 	manyResponses = 3 * minResponses
-	// startWindows is the number of windows in a row that begin an overload.
-	startWindows = 3
 	// minWindows is the number of windows after which the requests under way are known.
 	minWindows = 3
-	// maxPath is the wait for a SYN-ACK from which the SYN may have been retransmitted.
-	maxPath = 150 * time.Millisecond
-
-	// fullLoad is the number of requests under way per slot from which all slots are taken.
-	fullLoad = 1.0
-	// fullLoadRefusing replaces fullLoad while flows are refused: this VM may refuse more than others.
-	fullLoadRefusing = 0.5
-	// lowLoad is the number of requests under way per slot below which few requests queue.
-	lowLoad = 0.7
-	// overload is the number of requests under way per slot that means overload if nothing
-	// is known of response times.
-	overload = 3.0
-	// maxQueueing limits the queueing delay that the control responds to.
-	maxQueueing = 3.0
-	// integralGain is the growth of the refused share per second at twice the allowed delay.
-	integralGain = 1.0
-	// trendGain is the growth of the refused share as the delay grows by the allowed one.
-	trendGain = 0.2
-	// releaseGain replaces integralGain below half of the allowed delay, so that slots are
-	// not left free.
-	releaseGain = 2.0
-	// decay is the rate, per second, at which the refused share decays, so that the shares of VMs
-	// do not drift apart.
-	decay = 1.2
-	// leastRefused is the share below which nothing is refused: a single window of delays by chance
-	// stays below it.
-	leastRefused = 0.05
-	// quietTime is how long nothing is refused before an overload counts as over.
-	quietTime = time.Second
 )
 
 type (
@@ -74,33 +42,45 @@
 	State struct {
 		Refused  float64 // share of new flows that is refused
 		Pending  float64 // requests under way at all VMs
+		VMs      int     // on whose reports Pending rests, 1 if it is taken from this VM alone
 		Slots    int
-		Queueing float64       // median queueing delay, as a multiple of the allowed one
+		Queueing float64       // median queueing delay that counts, as a multiple of the allowed one
 		Response time.Duration // mean response time
 		Service  time.Duration // time that a request occupies a slot
 		Began    time.Duration // start of the overload, or 0
 	}
 
+	// Answer is the response to a request.
+	Answer struct {
+		Route  *Times
+		Waited time.Duration // since the request
+		Placed time.Duration // when this VM placed its flow, 0 if another VM did
+	}
+
 	// Limiter is the admission state of one service. Create it with New.
 	Limiter struct {
 		view     View
 		viewAt   time.Duration
+		viewMean float64 // requests under way by the views of the last second
 		ownVMs   int
 		ownSlots int
+		perOwn   float64 // requests under way at all VMs for each of this VM, by views; 0 if unknown
 
 		began    time.Duration // start of the window
 		requests int           // in the window
 		waited   time.Duration // sum over the responses of the window
 		answered int           // responses in the window
+		late     int           // those that took longer than their objective lets a request queue
 		queued   []float64     // queueing delays in the window, as a multiple of the allowed ones
 
 		rate     float64 // requests per second
 		response float64 // mean response time in seconds
 		base     float64 // mean response time without queueing, in seconds
-		path     float64 // mean wait for a SYN-ACK, in seconds: the same way without work
+		path     path
 		queueing float64 // median of the last window
 		windows  int     // that have ended
 		delayed  int     // windows in a row with overload
+		placed   placedDelays
 		refused  float64 // share of new flows
 		since    time.Duration
 		lastShed time.Duration
@@ -115,8 +95,17 @@
 func (l *Limiter) SetPool(slots, vms int) { l.ownSlots, l.ownVMs = slots, max(vms, 1) }
 
 // SetView sets the load at all VMs. Without a recent one, a Limiter takes its own load for that
-// of each VM.
-func (l *Limiter) SetView(now time.Duration, v View) { l.view, l.viewAt = v, now }
+// of each VM, unless earlier views have shown that its load is above the mean.
+func (l *Limiter) SetView(now time.Duration, v View) {
+	if !l.viewed(now) {
+		l.viewMean = 0
+	}
+	l.view, l.viewAt = v, now
+	l.viewMean = mix(l.viewMean, v.Pending, viewCount)
+	if own := l.pending(now); own >= minOwnPending {
+		l.perOwn = mix(l.perOwn, v.Pending/own, meanCount)
+	}
+}
 
 // Request records a request that is sent to an upstream.
 func (l *Limiter) Request(now time.Duration) {
@@ -124,33 +113,39 @@
 	l.requests++
 }
 
-// Response records the response to a request of a route.
-func (l *Limiter) Response(now time.Duration, route *Times, waited time.Duration) {
+// Response records the response to a request.
+func (l *Limiter) Response(now time.Duration, a Answer) {
 	l.Advance(now)
 	l.answered++
-	l.waited += waited
-	if q, ok := route.queueing(waited); ok && len(l.queued) < maxResponses {
-		l.queued = append(l.queued, q)
+	l.waited += a.Waited
+	waited := max(0, a.Waited-l.path.excess())
+	if a.Route.late(waited) {
+		l.late++
 	}
-	slotsFree := l.windows >= minWindows && l.perSlot(now) < lowLoad
-	route.observe(now, waited, slotsFree)
-	if route.base > 0 {
-		l.base = approach(l.base, route.base)
+	if q, ok := a.Route.queueing(waited); ok {
+		l.placed.add(now, a.Placed, q)
+		if len(l.queued) < maxResponses {
+			l.queued = append(l.queued, q)
+		}
+	}
+	a.Route.observe(now, waited, l.slotsFree(now))
+	if a.Route.base > 0 {
+		l.base = approach(l.base, a.Route.base)
 	}
 }
 
 // Opened records the wait for a SYN-ACK. It is the time that packets are under way.
-func (l *Limiter) Opened(waited time.Duration) {
-	if waited < maxPath {
-		l.path = approach(l.path, waited)
-	}
-}
+func (l *Limiter) Opened(waited time.Duration) { l.path.add(waited) }
 
 // Advance ends the window of observations if it is due.
 func (l *Limiter) Advance(now time.Duration) {
 	length := now - l.began
 	enough := len(l.queued) >= minResponses || l.answered >= manyResponses || l.relieved(now)
-	if length < interval || !enough && length < maxInterval {
+	longest := maxInterval
+	if l.refused > 0 {
+		longest = maxRefusing
+	}
+	if length < interval || !enough && length < longest {
 		return
 	}
 	if l.began == 0 {
@@ -158,76 +153,12 @@
 	}
 	l.windows++
 	l.average(length)
+	l.path.update(min(length, maxInterval), l.slotsFree(now))
 	l.control(now, min(length, maxInterval))
-	l.began, l.requests, l.waited, l.answered = now, 0, 0, 0
+	l.began, l.requests, l.waited, l.answered, l.late = now, 0, 0, 0, 0
 	l.queued = l.queued[:0]
 }
 
-// control sets the share of refused flows from a window.
-func (l *Limiter) control(now, length time.Duration) {
-	before := l.queueing
-	l.queueing = l.median(now)
-	if l.queueing > 1 {
-		l.delayed++
-	} else {
-		l.delayed = 0
-	}
-	if l.refused == 0 && l.delayed < startWindows {
-		l.end(now)
-		return
-	}
-	gain := integralGain
-	if l.queueing < 0.5 {
-		gain = releaseGain
-	}
-	seconds := length.Seconds()
-	trend := min(max(l.queueing-before, -1), 1)
-	l.refused += gain*seconds*(l.queueing-1) + trendGain*trend - decay*seconds*l.refused
-	l.refused = min(max(l.refused, 0), 1-floor)
-	if l.share() == 0 {
-		l.end(now)
-		return
-	}
-	l.lastShed = now
-	if l.since == 0 {
-		l.since = now
-	}
-}
-
-// share returns the share of new flows that is refused.
-func (l *Limiter) share() float64 {
-	if l.refused < leastRefused {
-		return 0
-	}
-	return l.refused
-}
-
-// median returns the median queueing delay of the window as a multiple of the allowed one, or 0
-// while slots are free.
-func (l *Limiter) median(now time.Duration) float64 {
-	perSlot, taken := l.perSlot(now), fullLoad
-	if l.refused > 0 {
-		taken = fullLoadRefusing
-	}
-	switch {
-	case perSlot < taken, l.relieved(now):
-		return 0
-	case len(l.queued) >= minResponses:
-		slices.Sort(l.queued)
-		return min(l.queued[len(l.queued)/2], maxQueueing)
-	case l.answered >= minResponses:
-		return min(perSlot/overload, maxQueueing) // response times are not known yet
-	}
-	return 0
-}
-
-// end ends an overload after some time without refusals.
-func (l *Limiter) end(now time.Duration) {
-	if l.since > 0 && now-l.lastShed >= quietTime {
-		l.since = 0
-	}
-}
-
 // Delayed reports whether responses of the last window have queued for longer than allowed.
 // Then new flows should go to all upstreams before any is refused.
 func (l *Limiter) Delayed() bool { return l.delayed > 0 || l.refused > 0 }
@@ -236,7 +167,7 @@
 func (l *Limiter) State(now time.Duration) State {
 	v := l.load(now)
 	return State{
-		Refused: l.share(), Pending: v.Pending, Slots: v.Slots, Queueing: l.queueing,
+		Refused: l.share(), Pending: v.Pending, VMs: v.VMs, Slots: v.Slots, Queueing: l.queueing,
 		Response: time.Duration(l.response * float64(time.Second)), Service: l.ServiceTime(), Began: l.since,
 	}
 }
