sparcookie: an upstream that is back with its failure domain may be cold

Cause: an upstream that restarts under its ID is taken as warm until its entry says otherwise. A VM waited for newer settings only where it had ejected the upstream itself. Of a failure domain that fails it ejects the few that cost it a SYN; the others it took as warm at their first answer, and so too those that other VMs had ejected.

Change: the first answer since the domain became suspect, and a weight that rises from 0, count as a return like the end of an own ejection: only holders use the upstream until settings are of after that and of its next heartbeat, unless nothing else is left.

Ruled out: resets of flows as a sign. Servers answer clients directly, no VM sees them. A single missed answer as a sign: packets are lost by chance, and the wait takes the upstream out of use for settings' age and a heartbeat.

Measured: TestUpstreamBackWithItsDomain 31 openings of 60 before, 0 after; TestUpstreamBackByEvidence 33 of 60 before, 0 after. With stale settings the wait goes on for up to 10 s, as after an ejection.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -140,6 +140,7 @@
 	if d.suspectSince > 0 && u.lastResponse <= d.suspectSince {
 		d.answered++
 		u.slowStartUntil = e.now + slowStartTime
+		e.markBack(u)
 	}
 	d.lastResponse, d.silent = e.now, 0
 	if d.suspectSince > 0 && d.recovered(e.now) {
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -45,6 +45,9 @@
 	if weight <= 0 && u.weight > 0 {
 		u.ejectedAt = e.now
 	}
+	if weight > 0 && u.weight == 0 {
+		e.markBack(u)
+	}
 	u.weight = min(1, max(0, weight))
 }
 
--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -30,7 +30,7 @@
 		from   time.Duration   // when all VMs know the domain
 		rank   int
 		ranked uint64        // warmLimits.ranking that the rank belongs to
-		back   time.Duration // when it answered again after an ejection, 0 if it never did
+		back   time.Duration // when it answered again after a failure, 0 if it never did
 		holder bool          // as announced last
 	}
 
--- a/internal/route/sparcookie/warm_back_test.go
+++ b/internal/route/sparcookie/warm_back_test.go
@@ -92,3 +92,83 @@
 		t.Errorf("%v allocations for an opening that is refused, want none", n)
 	}
 }
+
+// TestUpstreamBackWithItsDomain covers a failure domain that was silent and is back. An upstream there
+// that this VM has not ejected, since it sent it nothing meanwhile, may have restarted like the others:
+// once it answers, a VM that is no holder waits for settings of after that.
+func TestUpstreamBackWithItsDomain(t *testing.T) {
+	f := newWarmFixture(t, 1, sparconfig.WarmLimit{Overage: 1}) // one holder, not this VM
+	south := map[uint64]bool{}
+	for range 5 {
+		south[f.add("south", 0)] = true
+	}
+	f.add("west", 0)
+	f.drain()
+	tried := f.silence(south)
+	back := f.firstAnswer(south, tried)
+	if got := f.openAnswered(60, back); got != 0 {
+		t.Errorf("%d openings at an upstream that is back with its domain, want none before the settings of after that", got)
+	}
+	f.learn()
+	if got := f.openAnswered(60, back); got == 0 {
+		t.Error("no openings with settings of after its return, want some")
+	}
+}
+
+// TestUpstreamBackByEvidence covers an upstream that other VMs had ejected, and which answers them again.
+func TestUpstreamBackByEvidence(t *testing.T) {
+	f := newWarmFixture(t, 1, sparconfig.WarmLimit{Overage: 1}) // one holder, not this VM
+	f.add("south", 0)
+	id := f.add("south", 0)
+	f.drain()
+	f.vm.engine.SetWeight(id, 0.5)
+	if got := f.openAnswered(20, id); got == 0 {
+		t.Error("no openings at an upstream of half the weight, want some")
+	}
+	f.vm.engine.SetWeight(id, 0)
+	f.vm.engine.SetWeight(id, 1)
+	if got := f.openAnswered(60, id); got != 0 {
+		t.Errorf("%d openings at an upstream that is back, want none before the settings of after that", got)
+	}
+	f.learn()
+	if got := f.openAnswered(60, id); got == 0 {
+		t.Error("no openings with settings of after its return, want some")
+	}
+}
+
+// silence opens flows until a failure domain is suspect, with its upstreams silent. It returns those
+// that were sent a SYN.
+func (f *warmFixture) silence(silent map[uint64]bool) (tried map[uint64]bool) {
+	tried = map[uint64]bool{}
+	f.vm.engine.Events()
+	for range 200 {
+		if v := f.open(); silent[v.ID] {
+			tried[v.ID] = true
+		} else {
+			f.answer(v)
+		}
+		f.wait(20 * time.Millisecond)
+		for _, event := range f.vm.engine.Events() {
+			if e, ok := event.(sparcookie.DomainChanged); ok && e.Suspect {
+				return tried
+			}
+		}
+	}
+	f.t.Fatal("the failure domain is not suspect")
+	return nil
+}
+
+// firstAnswer opens flows, all of which are answered, until an upstream of a domain that was not tried
+// while it was silent has answered.
+func (f *warmFixture) firstAnswer(domain, tried map[uint64]bool) uint64 {
+	for range 500 {
+		v := f.open()
+		f.answer(v)
+		if domain[v.ID] && !tried[v.ID] {
+			return v.ID
+		}
+		f.wait(10 * time.Millisecond)
+	}
+	f.t.Fatal("no upstream is probed")
+	return 0
+}
