--- a/internal/vm/sparentry/evacuation_fault_test.go
+++ b/internal/vm/sparentry/evacuation_fault_test.go
@@ -30,6 +30,7 @@
 // TestReaderDiesWithAnEvacuation stops the VM that reads the platform as it gets an evacuation, before
 // it tells any other.
 func TestReaderDiesWithAnEvacuation(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	f.mu.Lock()
 	f.fatal = sparfake.EvacuationPrefix + "north"
@@ -46,6 +47,7 @@
 
 // TestEvacuationDuringStarts starts VMs while an evacuation spreads, with and without the platform.
 func TestEvacuationDuringStarts(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 2)
 	seed := f.vms[0].file.Control
 	var started []*vm
@@ -66,6 +68,7 @@
 // TestReaderCutOffAtTheEnd cuts the reader off from the platform as an evacuation ends. All VMs must
 // learn of the end within the bound, the reader through the others.
 func TestReaderCutOffAtTheEnd(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3)
 	since := f.evacuate("north")
 	for _, v := range f.vms {
@@ -90,6 +93,7 @@
 // TestEvacuationWhileHalfIsRefused evacuates a domain while the platform refuses half of the VMs, the
 // reader among them.
 func TestEvacuationWhileHalfIsRefused(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4)
 	reader := f.reader()
 	f.refuse(reader, true)
@@ -105,6 +109,7 @@
 // it back before they are warm. No second has more openings than their limit, over all VMs, and
 // there are some in the end.
 func TestEvacuationAndColdReturn(t *testing.T) {
+	t.Parallel()
 	const limit = 5 // 2 a second x 1.5 + 2
 	bound := 800 * time.Millisecond
 	f := newFleet(t, 3, func(c *sparconfig.File) { c.Evacuate, c.Overage, c.Slack = 800, 1.5, 2 })
