sparsoak: more users than slots by turns

Cause: the soak never had demand above the slots, so no run had refusals for overload beside killed and paused VMs.

At each VM callers of both kinds come for 5 s, by turns with few. URGENT: the part of urgent requests in time is not smaller than that of the others, less 0.1, at VMs that are well. CALM: no refusal later than 2 s after the end. REFUSED: nothing that was refused has run; weak, since the stand-in sends no data before a SYN-ACK.

--- a/cmd/sparsoak/main.go
+++ b/cmd/sparsoak/main.go
@@ -19,17 +19,18 @@
 )
 
 type arguments struct {
-	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
-	Count   int           `arg:"--count" default:"1" help:"number of seeds, each in turn"`
-	For     time.Duration `arg:"--for" default:"20s" help:"how long faults go on in each"`
-	VMs     int           `arg:"--vms" default:"6" help:"processes"`
-	Users   int           `arg:"--users" default:"24" help:"users of flows"`
-	Restore bool          `arg:"--restore" help:"restore the store from older copies as well"`
-	Cold    bool          `arg:"--cold" help:"rarer faults, so that upstreams that come back cold are used"`
-	Keep    string        `arg:"--keep" help:"directory for the logs of VMs"`
-	Program string        `arg:"--program" help:"program of a VM, otherwise built here"`
-	JSON    bool          `arg:"--json" help:"one JSON object for each seed"`
-	Quiet   bool          `arg:"--quiet" help:"no progress"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Count    int           `arg:"--count" default:"1" help:"number of seeds, each in turn"`
+	For      time.Duration `arg:"--for" default:"20s" help:"how long faults go on in each"`
+	VMs      int           `arg:"--vms" default:"6" help:"processes"`
+	Users    int           `arg:"--users" default:"24" help:"users of flows"`
+	Restore  bool          `arg:"--restore" help:"restore the store from older copies as well"`
+	Cold     bool          `arg:"--cold" help:"rarer faults, so that upstreams that come back cold are used"`
+	Overload bool          `arg:"--overload" help:"rarer faults, and more users than slots by turns"`
+	Keep     string        `arg:"--keep" help:"directory for the logs of VMs"`
+	Program  string        `arg:"--program" help:"program of a VM, otherwise built here"`
+	JSON     bool          `arg:"--json" help:"one JSON object for each seed"`
+	Quiet    bool          `arg:"--quiet" help:"no progress"`
 }
 
 func main() {
@@ -62,7 +63,7 @@
 		}
 	}
 	for n := range a.Count {
-		p := sparsoak.Plan{Program: a.Program, Seed: a.Seed + uint64(n), For: a.For, VMs: a.VMs, Users: a.Users, Restores: a.Restore, Cold: a.Cold, Keep: a.Keep}
+		p := sparsoak.Plan{Program: a.Program, Seed: a.Seed + uint64(n), For: a.For, VMs: a.VMs, Users: a.Users, Restores: a.Restore, Cold: a.Cold, Overload: a.Overload, Keep: a.Keep}
 		if !a.Quiet {
 			p.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
 		}
--- a/internal/proof/sparsoak/checks.go
+++ b/internal/proof/sparsoak/checks.go
@@ -26,6 +26,7 @@
 		misrouted   map[flowKey]int      // packets of a flow that reached other upstreams
 		drainStarts map[uint64]time.Time // when the store accepted the drain of each upstream
 		cold        map[*sparfake.Server]*coldTime
+		overload    overload
 	}
 
 	flowKey struct {
@@ -192,8 +193,11 @@
 }
 
 func serviceOf(route sparflow.Endpoint) string {
-	if route == receiptsRoute {
+	switch route {
+	case receiptsRoute:
 		return receipts
+	case urgentRoute, lessRoute:
+		return orders
 	}
 	return booking
 }
--- a/internal/proof/sparsoak/cold.go
+++ b/internal/proof/sparsoak/cold.go
@@ -212,7 +212,7 @@
 
 // calm returns the time between two faults.
 func (t *testbed) calm(d time.Duration) time.Duration {
-	if t.plan.Cold {
+	if t.plan.Cold || t.plan.Overload {
 		return calmFactor * d
 	}
 	return d
--- a/internal/proof/sparsoak/servers.go
+++ b/internal/proof/sparsoak/servers.go
@@ -77,6 +77,19 @@
 	return list
 }
 
+// addOrderServers starts the upstreams of the service with overloads.
+func (t *testbed) addOrderServers() error {
+	for range orderUpstreams {
+		s, err := t.addServerIn(orders, "", 0)
+		if err != nil {
+			return err
+		}
+		s.SetWorkTime(orderTime)
+		s.SetSlots(orderSlots)
+	}
+	return nil
+}
+
 // claim reports whether a fault may end an upstream: no other is about to.
 func (t *testbed) claim(s *sparfake.Server) bool {
 	t.mu.Lock()
--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -56,6 +56,7 @@
 		Users     int           // concurrent users that open flows, default 24
 		Restores  bool          // the store is also restored from older copies
 		Cold      bool          // other faults are rarer, so that VMs use upstreams that come back cold
+		Overload  bool          // other faults are rarer, and a further service has more demand than slots by turns
 		Keep      string        // directory for the logs of the VMs, empty for none
 		Progress  func(line string)
 	}
@@ -79,6 +80,8 @@
 		Elsewhere int         `json:"elsewhere"` // openings while an evacuation had to be in force
 		Cold      int         `json:"cold"`      // openings at upstreams that warmed up
 		Unheld    int         `json:"unheld"`    // warm-ups whose limit was exceeded by VMs that could not know of them
+		Orders    int         `json:"orders"`    // requests of the service with overloads
+		Refused   int         `json:"refused"`   // of these
 		Calls     int         `json:"calls"`     // of the VMs to the store
 		Words     int         `json:"words"`     // status replies that were checked
 		Faults    []string    `json:"faults"`
@@ -115,13 +118,18 @@
 	}
 	wg.Go(func() { t.checkRoutes(ctx) })
 	wg.Go(func() { t.checkStatuses(ctx) })
+	endOverloads := t.startOverloads(ctx, &wg)
 	t.injectWithEvacuations(ctx)
+	endOverloads()
 	ended, cold := t.checker.snapshot(), t.addLastCold()
 	sleep(ctx, recoveryTime)
 	before := t.checker.snapshot()
 	sleep(ctx, measureTime)
 	t.checker.checkRecovery(before)
 	t.checker.checkStarved(cold, ended)
+	if p.Overload {
+		t.checker.checkOverloads()
+	}
 	report = t.checker.snapshot()
 	report.Seed, report.Calls = p.Seed, t.store.Calls()
 	return report, nil
--- a/internal/proof/sparsoak/soak_test.go
+++ b/internal/proof/sparsoak/soak_test.go
@@ -12,23 +12,22 @@
 // runTime is how long faults are injected in CI.
 const runTime = 8 * time.Second
 
-// seeds are those that have failed before, each with the cause of the failure, and one with
-// restores.
+// seeds are those that have failed before, each with the cause of the failure, and one of each
+// further mode.
 var seeds = []struct {
 	seed  uint64
 	cause string
 	more  time.Duration // added to runTime, where the failing fault came later
 
-	restores bool // the store is also restored from older copies
-	cold     bool // upstreams come back cold, beside rarer faults
+	plan sparsoak.Plan // its modes
 }{
-	{1, "the fake server ran older data of a flow again", 0, false, false},
-	{2028, "SIGHUP reached a process in its first milliseconds, before a program can handle it", 0, false, false},
-	{2, "two faults restarted one VM at once, and one of the two processes found its ports in use", 0, false, false},
-	{6105, "a VM that kept expired entries after its own outage reported a revision without them to other VMs", 8 * time.Second, false, false},
-	{6306, "the same, on a reader that other VMs follow", 8 * time.Second, false, false},
-	{9000, "none yet: restores of the store beside the other faults", 4 * time.Second, true, false},
-	{63000, "none yet: upstreams that come back cold", 8 * time.Second, false, true},
+	{1, "the fake server ran older data of a flow again", 0, sparsoak.Plan{}},
+	{2028, "SIGHUP reached a process in its first milliseconds, before a program can handle it", 0, sparsoak.Plan{}},
+	{2, "two faults restarted one VM at once, and one of the two processes found its ports in use", 0, sparsoak.Plan{}},
+	{6105, "a VM that kept expired entries after its own outage reported a revision without them to other VMs", 8 * time.Second, sparsoak.Plan{}},
+	{6306, "the same, on a reader that other VMs follow", 8 * time.Second, sparsoak.Plan{}},
+	{9000, "none yet: restores of the store beside the other faults", 4 * time.Second, sparsoak.Plan{Restores: true}},
+	{63000, "none yet: upstreams that come back cold, overloads", 8 * time.Second, sparsoak.Plan{Cold: true, Overload: true}},
 }
 
 // TestSoak executes short runs. The result depends only on what clients and upstreams
@@ -42,7 +41,9 @@
 	for _, s := range seeds {
 		t.Run(s.cause, func(t *testing.T) {
 			t.Parallel()
-			report, err := sparsoak.Run(t.Context(), sparsoak.Plan{Program: program, Seed: s.seed, For: runTime + s.more, Restores: s.restores, Cold: s.cold})
+			p := s.plan
+			p.Program, p.Seed, p.For = program, s.seed, runTime+s.more
+			report, err := sparsoak.Run(t.Context(), p)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/proof/sparsoak/testbed.go
+++ b/internal/proof/sparsoak/testbed.go
@@ -94,6 +94,10 @@
 	t.operator.routes = []sparfake.Route{
 		{At: repeatableRoute, Service: booking}, {At: onceRoute, Service: booking, Once: true}, {At: receiptsRoute, Service: receipts},
 	}
+	if p.Overload {
+		t.operator.routes = append(t.operator.routes, orderRoutes()...)
+	}
+	t.operator.fixed = len(t.operator.routes)
 	t.publish()
 	for range p.Upstreams {
 		if err = t.addServer(booking); err != nil {
@@ -105,6 +109,11 @@
 			return nil, err
 		}
 	}
+	if p.Overload {
+		if err = t.addOrderServers(); err != nil {
+			return nil, err
+		}
+	}
 	if err = t.startVMs(); err != nil {
 		return nil, err
 	}
--- a/internal/proof/sparsoak/users.go
+++ b/internal/proof/sparsoak/users.go
@@ -85,6 +85,7 @@
 	mu      sync.Mutex
 	version uint64
 	routes  []sparfake.Route
+	fixed   int    // routes that stay
 	added   uint16 // number of routes added during the run
 	changed map[sparflow.Endpoint]routeChange
 }
@@ -120,10 +121,10 @@
 		o.changed = map[sparflow.Endpoint]routeChange{}
 	}
 	at, present := sparflow.MakeEndpoint(0xc6120001, extraPort+o.added), true
-	if extras := o.routes[3:]; len(extras) > 0 && t.rng.intN(2) == 0 {
+	if extras := o.routes[o.fixed:]; len(extras) > 0 && t.rng.intN(2) == 0 {
 		removed := t.rng.intN(len(extras))
 		at, present = extras[removed].At, false
-		o.routes = append(o.routes[:3+removed:3+removed], extras[removed+1:]...)
+		o.routes = append(o.routes[:o.fixed+removed:o.fixed+removed], extras[removed+1:]...)
 	} else {
 		o.added++
 		o.routes = append(o.routes, sparfake.Route{At: at, Service: booking})
