--- a/internal/proof/sparsoak/users.go
+++ b/internal/proof/sparsoak/users.go
@@ -38,32 +38,38 @@
 // sendRequests sends requests on one flow. The caller has counted the first one when it
 // opened the flow.
 func (t *testbed) sendRequests(ctx context.Context, rng *random, f *sparfake.Flow, name string) {
-	_, route := f.Ends()
 	for k := range 1 + rng.intN(maxRequests) {
 		if k > 0 {
 			t.checker.count(func(r *Report) { r.Requests++ })
 		}
-		request := fmt.Sprintf("%s-%d", name, k)
-		response, err := f.Do(request, responseTimeout)
-		switch {
-		case errors.Is(err, sparfake.ErrClosed):
-			t.checker.count(func(r *Report) { r.Requests-- }) // the request was not sent
-			f.Close()
-			return
-		case errors.Is(err, sparfake.ErrReset):
-			t.checker.checkReset(f)
-			return
-		case err != nil:
-			t.countFailure(err)
-			f.Close()
+		if !t.sendRequest(f, fmt.Sprintf("%s-%d", name, k)) {
 			return
 		}
-		t.checker.checkResponse(route, request, response)
 		sleep(ctx, rng.between(5*time.Millisecond, 300*time.Millisecond))
 	}
 	f.Close()
 }
 
+// sendRequest sends one request on a flow. It reports whether a response came, otherwise the flow has
+// ended.
+func (t *testbed) sendRequest(f *sparfake.Flow, request string) bool {
+	_, route := f.Ends()
+	response, err := f.Do(request, responseTimeout)
+	switch {
+	case errors.Is(err, sparfake.ErrClosed):
+		t.checker.count(func(r *Report) { r.Requests-- }) // the request was not sent
+		f.Close()
+	case errors.Is(err, sparfake.ErrReset):
+		t.checker.checkReset(f)
+	case err != nil:
+		t.countFailure(err)
+		f.Close()
+	default:
+		t.checker.checkResponse(route, request, response)
+	}
+	return err == nil
+}
+
 func (t *testbed) countFailure(err error) {
 	t.checker.count(func(r *Report) {
 		if errors.Is(err, sparfake.ErrTimeout) {
@@ -79,6 +85,7 @@
 	mu      sync.Mutex
 	version uint64
 	routes  []sparfake.Route
+	fixed   int    // routes that stay
 	added   uint16 // number of routes added during the run
 	changed map[sparflow.Endpoint]routeChange
 }
@@ -89,11 +96,20 @@
 	present bool      // added, not removed
 }
 
+// document returns the text of the routes and of what upstreams bear while they warm up.
+func (o *operator) document() []byte {
+	d := sparfake.Document{Version: o.version, Routes: o.routes}
+	for _, service := range []string{booking, receipts} {
+		d.Services = append(d.Services, sparfake.Service{Name: service, WarmRate: warmRate, WarmTime: maxWarm})
+	}
+	return d.Text()
+}
+
 // publish writes the current routes under a new version.
 func (t *testbed) publish() {
 	o := &t.operator
 	o.version += 1 + uint64(t.rng.intN(3))
-	t.store.Put(sparfake.RoutingKey, sparfake.Routing(o.version, o.routes))
+	t.store.Put(sparfake.RoutingKey, o.document())
 }
 
 // changeRoutes adds a route, or removes one that an earlier call added.
@@ -105,10 +121,10 @@
 		o.changed = map[sparflow.Endpoint]routeChange{}
 	}
 	at, present := sparflow.MakeEndpoint(0xc6120001, extraPort+o.added), true
-	if extras := o.routes[3:]; len(extras) > 0 && t.rng.intN(2) == 0 {
+	if extras := o.routes[o.fixed:]; len(extras) > 0 && t.rng.intN(2) == 0 {
 		removed := t.rng.intN(len(extras))
 		at, present = extras[removed].At, false
-		o.routes = append(o.routes[:3+removed:3+removed], extras[removed+1:]...)
+		o.routes = append(o.routes[:o.fixed+removed:o.fixed+removed], extras[removed+1:]...)
 	} else {
 		o.added++
 		o.routes = append(o.routes, sparfake.Route{At: at, Service: booking})
