sparentry: refusals, tagged counters and addresses stand once

Refused reports and refused probes were counted, logged and published by two copies of the same lines; counters by a tag were published in three ways. The listener for the fabric's probes is called readiness: probe also meant questions about upstreams.

--- a/internal/flow/sparflow/flow.go
+++ b/internal/flow/sparflow/flow.go
@@ -116,6 +116,13 @@
 
 func (e Endpoint) Port() uint16 { return uint16(e) }
 
+// AddrPort returns the address and port for the net package.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], e.IP())
+	return netip.AddrPortFrom(netip.AddrFrom4(b), e.Port())
+}
+
 // String returns "a.b.c.d:port".
 func (e Endpoint) String() string {
 	ip := e.IP()
--- a/internal/vm/sparentry/admit.go
+++ b/internal/vm/sparentry/admit.go
@@ -53,12 +53,7 @@
 		scope.Gauge("admission_queueing").Update(state.Queueing)
 		scope.Gauge("service_seconds").Update(state.Service.Seconds())
 	}
-	rejected := engine.RejectedOpenings()
-	for priority, n := range rejected {
-		if n > m.rejected[priority] {
-			tags := map[string]string{"priority": strconv.Itoa(priority)}
-			m.set.Scope.Tagged(tags).Counter("rejected_openings").Inc(int64(n - m.rejected[priority]))
-		}
+	for priority, n := range engine.RejectedOpenings() {
+		m.countTagged("rejected_openings", "priority", strconv.Itoa(priority), n)
 	}
-	m.rejected = rejected
 }
--- a/internal/vm/sparentry/control.go
+++ b/internal/vm/sparentry/control.go
@@ -87,7 +87,7 @@
 			vm.inputs.Put(probed{}) // if the ring is full, this VM leaves later
 		}
 	})
-	return serve(ctx, vm.probe, mux, nil, nil)
+	return serve(ctx, vm.readiness, mux, nil, nil)
 }
 
 // serve serves HTTP requests until ctx ends. Once left is closed it accepts no more
--- a/internal/vm/sparentry/entry.go
+++ b/internal/vm/sparentry/entry.go
@@ -95,8 +95,8 @@
 		data       *net.UDPConn
 		control    *net.UDPConn
 		controlTCP net.Listener
-		probe      net.Listener
-		port       uint16 // of clients, for packets sent back to them
+		readiness  net.Listener // for the probes of the fabric
+		port       uint16       // of clients, for packets sent back to them
 
 		packets  *sparring.Ring[*packet]
 		inputs   *sparring.Ring[input]
@@ -178,7 +178,7 @@
 	if vm.controlTCP, err = net.Listen("tcp4", vm.file.Control); err != nil {
 		return err
 	}
-	vm.probe, err = net.Listen("tcp4", vm.carrier.Ready)
+	vm.readiness, err = net.Listen("tcp4", vm.carrier.Ready)
 	return err
 }
 
@@ -217,7 +217,7 @@
 
 // close closes the sockets. The goroutines that use them get net.ErrClosed and return.
 func (vm *VM) close() {
-	for _, c := range []interface{ Close() error }{vm.data, vm.control, vm.controlTCP, vm.probe, vm.metrics.set} {
+	for _, c := range []interface{ Close() error }{vm.data, vm.control, vm.controlTCP, vm.readiness, vm.metrics.set} {
 		_ = c.Close() // no data is pending
 	}
 }
--- a/internal/vm/sparentry/hedge.go
+++ b/internal/vm/sparentry/hedge.go
@@ -91,11 +91,6 @@
 	m.count("hedged_openings", stats.Sent)
 	m.count("hedges_won", stats.Won)
 	for d, n := range stats.Denied {
-		cause := sparcookie.HedgeDenial(d).String()
-		name := "hedges_denied " + cause
-		if n > m.counts[name] {
-			m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("hedges_denied").Inc(int64(n - m.counts[name]))
-			m.counts[name] = n
-		}
+		m.countTagged("hedges_denied", "cause", sparcookie.HedgeDenial(d).String(), n)
 	}
 }
--- a/internal/vm/sparentry/leave.go
+++ b/internal/vm/sparentry/leave.go
@@ -8,6 +8,13 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 )
 
+// beginLeave begins to leave the fabric.
+func (vm *VM) beginLeave() {
+	vm.leave.Begin(vm.file.Name, vm.clock.now(), vm.carrier.Grace)
+	vm.logLeaving()
+	vm.coordinateLeave(vm.clock.now())
+}
+
 // coordinateLeave makes VMs of a failure domain that were told to stop leave one after the
 // other: it sends announcements to them and refuses probes when it is this VM's turn.
 func (vm *VM) coordinateLeave(now time.Duration) {
--- a/internal/vm/sparentry/loop.go
+++ b/internal/vm/sparentry/loop.go
@@ -31,9 +31,7 @@
 	for {
 		select {
 		case p := <-vm.packets.Out():
-			if time.Since(vm.began)-vm.tickedAt > lateTick {
-				vm.tick() // settings have aged while this VM was paused
-			}
+			vm.tickIfLate()
 			vm.forward(p)
 		case <-vm.hedges.due():
 			vm.sendHedges()
@@ -57,9 +55,7 @@
 			return nil
 		case <-stopping:
 			stopping = nil
-			vm.leave.Begin(vm.file.Name, vm.clock.now(), vm.carrier.Grace)
-			vm.logLeaving()
-			vm.coordinateLeave(vm.clock.now())
+			vm.beginLeave()
 		case <-workers.Done():
 			return nil
 		}
@@ -77,6 +73,13 @@
 	vm.logReload()
 }
 
+// tickIfLate does the periodic work if it is late: settings have aged while this VM was paused.
+func (vm *VM) tickIfLate() {
+	if time.Since(vm.began)-vm.tickedAt > lateTick {
+		vm.tick()
+	}
+}
+
 // tick does the periodic work of the event loop.
 func (vm *VM) tick() {
 	now := vm.clock.now()
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -7,7 +7,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/oleanderspar/oleanderspar/internal/log/sparmetrics"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparadmit"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 )
 
@@ -19,24 +18,22 @@
 type metrics struct {
 	set        *sparmetrics.Set
 	published  time.Time
-	last       sparcookie.Stats
-	badPackets map[string]int64
+	badPackets causes
 	unread     atomic.Uint64 // datagrams that could not be read from the kernel
 	unsent     atomic.Uint64 // datagrams that the kernel refused
 	early      atomic.Uint64 // packets dropped before the first settings
 	badControl atomic.Uint64
-	control    atomic.Uint64                     // bytes of control datagrams sent
-	served     atomic.Uint64                     // pulls of peers that were served
-	busy       atomic.Uint64                     // pulls of peers that were refused because of overload
-	unverified atomic.Uint64                     // notifications that do not tell how long they were under way
-	passedOver atomic.Uint64                     // entries of full reads that were older than those held
-	restores   atomic.Uint64                     // eras of the platform that followed another one
-	counts     map[string]uint64                 // totals published last
-	rejected   [sparadmit.MaxPriority + 1]uint64 // published last
+	control    atomic.Uint64     // bytes of control datagrams sent
+	served     atomic.Uint64     // pulls of peers that were served
+	busy       atomic.Uint64     // pulls of peers that were refused because of overload
+	unverified atomic.Uint64     // notifications that do not tell how long they were under way
+	passedOver atomic.Uint64     // entries of full reads that were older than those held
+	restores   atomic.Uint64     // eras of the platform that followed another one
+	counts     map[string]uint64 // totals published last
 }
 
 func newMetrics() *metrics {
-	return &metrics{set: sparmetrics.New(), badPackets: map[string]int64{}, counts: map[string]uint64{}}
+	return &metrics{set: sparmetrics.New(), badPackets: causes{}, counts: map[string]uint64{}}
 }
 
 // countBadPacket counts a datagram that is not a valid packet of a client.
@@ -54,10 +51,7 @@
 	m.publishAdmission(vm.engine)
 	vm.reporter.publish(m)
 	vm.prober.publish(m)
-	for cause, n := range m.badPackets {
-		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_packets").Inc(n)
-	}
-	clear(m.badPackets)
+	m.badPackets.publish(m, "refused_packets")
 	m.count("platform_calls", vm.store.Calls())
 	m.count("control_bytes", m.control.Load())
 	m.count("served_pulls", m.served.Load())
@@ -82,11 +76,8 @@
 
 func (m *metrics) publishVerdicts(stats sparcookie.Stats) {
 	for _, c := range sparcookie.Causes() {
-		if n := stats.Verdicts[c] - m.last.Verdicts[c]; n > 0 {
-			m.set.Scope.Tagged(map[string]string{"cause": c.String()}).Counter("packets").Inc(int64(n))
-		}
+		m.countTagged("packets", "cause", c.String(), stats.Verdicts[c])
 	}
-	m.last = stats
 	m.count("lost_requests", stats.Abandoned)
 	m.count("warm_openings", stats.WarmOpenings)
 	m.count("warm_refusals", stats.WarmRefusals)
@@ -100,6 +91,15 @@
 	m.counts[name] = now
 }
 
+// countTagged publishes the counter of one value of a tag by its total, once that is above 0.
+func (m *metrics) countTagged(name, tag, value string, now uint64) {
+	key := name + " " + value
+	if before := m.counts[key]; now > before {
+		m.set.Scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(int64(now - before))
+		m.counts[key] = now
+	}
+}
+
 // recordLatency records how long a client waited for the first sign of a response. first
 // is set if it waited for the response to the first packet of a flow.
 func (m *metrics) recordLatency(first bool, waited time.Duration) {
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -104,9 +103,7 @@
 
 // send writes a datagram. It does not retry: the original sender retransmits lost packets.
 func (vm *VM) send(b []byte, to sparflow.Endpoint) {
-	ip := to.IP()
-	address := netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)})
-	if _, err := vm.data.WriteToUDPAddrPort(b, netip.AddrPortFrom(address, to.Port())); err != nil {
+	if _, err := vm.data.WriteToUDPAddrPort(b, to.AddrPort()); err != nil {
 		vm.metrics.unsent.Add(1)
 	}
 }
--- a/internal/vm/sparentry/probe.go
+++ b/internal/vm/sparentry/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -33,8 +32,7 @@
 		connections sparprobe.Connections
 		budget      sparevidence.Budget
 		vms         map[string]sparconfig.VM // others, by name
-		refused     map[string]int64
-		refusedAt   time.Duration // last line about a refused message
+		refused     refusals
 		stats       proberStats
 	}
 
@@ -54,7 +52,7 @@
 
 func newProber(self sparconfig.VM, most int) *prober {
 	return &prober{
-		asker: sparprobe.NewAsker(sparprobe.VM{Name: self.Name, Domain: self.Domain}, rand.Uint32(), most), refused: map[string]int64{},
+		asker:  sparprobe.NewAsker(sparprobe.VM{Name: self.Name, Domain: self.Domain}, rand.Uint32(), most),
 		budget: sparevidence.Budget{PerSecond: probeBytes},
 	}
 }
@@ -138,7 +136,7 @@
 func (vm *VM) receiveProbe(q sparprobe.Question) {
 	p, now := vm.prober, time.Since(vm.began)
 	if _, ok := p.vms[q.From]; !ok {
-		vm.refuseProbe(q.From, sparprobe.UnknownVM, now)
+		vm.refuse(&p.refused, "probe refused", q.From, sparprobe.UnknownVM, now)
 		return
 	}
 	if vm.engine.JustPaused() || now-vm.tickedAt > lateTick {
@@ -152,7 +150,7 @@
 func (vm *VM) receiveProbeAnswer(a sparprobe.Answer) {
 	now := time.Since(vm.began)
 	if err := vm.prober.asker.Receive(now, a); err != nil {
-		vm.refuseProbe(a.From, err, now)
+		vm.refuse(&vm.prober.refused, "probe refused", a.From, err, now)
 	}
 }
 
@@ -190,10 +188,8 @@
 
 // reaches reports whether a connection to an address opens in time.
 func reaches(ctx context.Context, at sparflow.Endpoint) bool {
-	ip := at.IP()
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)}), at.Port())
 	dialer := net.Dialer{Timeout: sparprobe.ConnectTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
+	conn, err := dialer.DialContext(ctx, "tcp4", at.String())
 	if err != nil {
 		return false
 	}
--- a/internal/vm/sparentry/probelog.go
+++ b/internal/vm/sparentry/probelog.go
@@ -2,24 +2,12 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 )
 
-// refuseProbe counts and logs a message that does not count.
-func (vm *VM) refuseProbe(from string, err error, now time.Duration) {
-	p := vm.prober
-	p.refused[err.Error()]++
-	if p.refusedAt > 0 && now-p.refusedAt < refusedReportEvery {
-		return
-	}
-	p.refusedAt = now
-	vm.log.WithFields(logrus.Fields{"from": from, "cause": err.Error()}).Warn("probe refused")
-}
-
 // logOutcome logs the end of a round, and an upstream that is gone or back.
 func (vm *VM) logOutcome(o sparprobe.Outcome) {
 	fields := logrus.Fields{
@@ -46,10 +34,7 @@
 
 // publish updates the metrics of the prober.
 func (p *prober) publish(m *metrics) {
-	for cause, n := range p.refused {
-		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_probes").Inc(n)
-	}
-	clear(p.refused)
+	p.refused.causes.publish(m, "refused_probes")
 	m.count("sent_probes", p.stats.sent)
 	m.count("answered_probes", p.stats.answers)
 	m.count("unsent_probes", p.stats.unsent)
--- a/internal/vm/sparentry/report.go
+++ b/internal/vm/sparentry/report.go
@@ -15,12 +15,8 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
-const (
-	// servicesEvery is the time between two updates of the usual response times.
-	servicesEvery = time.Second
-	// refusedReportEvery is the least time between two lines about refused reports.
-	refusedReportEvery = time.Second
-)
+// servicesEvery is the time between two updates of the usual response times.
+const servicesEvery = time.Second
 
 // reporter shares evidence about upstreams with other VMs. Use newReporter.
 type reporter struct {
@@ -32,15 +28,14 @@
 	far        []sparconfig.VM // that are told the load as well
 	next       int             // index of the peer to begin with
 	servicesAt time.Duration
-	refusedAt  time.Duration // last line about a refused report
-	refused    map[string]int64
+	refused    refusals
 	sent       uint64
 	received   uint64
 	unsent     uint64 // for lack of budget
 }
 
 func newReporter(self string) *reporter {
-	return &reporter{board: sparevidence.New(self, rand.Uint32()), refused: map[string]int64{}}
+	return &reporter{board: sparevidence.New(self, rand.Uint32())}
 }
 
 // updateBoard tells the board the settings in force.
@@ -142,8 +137,7 @@
 func (vm *VM) receiveReport(report sparevidence.Report, now time.Duration) {
 	r := vm.reporter
 	if err := r.board.Receive(now, report); err != nil {
-		r.refused[err.Error()]++
-		vm.logRefusedReport(report.From, err, now)
+		vm.refuse(&r.refused, "report refused", report.From, err, now)
 		return
 	}
 	r.received++
@@ -151,10 +145,7 @@
 
 // publish updates the metrics of the reporter.
 func (r *reporter) publish(m *metrics) {
-	for cause, n := range r.refused {
-		m.set.Scope.Tagged(map[string]string{"cause": cause}).Counter("refused_reports").Inc(n)
-	}
-	clear(r.refused)
+	r.refused.causes.publish(m, "refused_reports")
 	m.count("sent_reports", r.sent)
 	m.count("received_reports", r.received)
 	m.count("unsent_reports", r.unsent)
@@ -179,15 +170,6 @@
 	vm.addEvent(what, c.Upstream.Service, fmt.Sprintf("%x", c.Upstream.ID), len(c.Witnesses))
 }
 
-// logRefusedReport logs a report that does not count.
-func (vm *VM) logRefusedReport(from string, err error, now time.Duration) {
-	if at := vm.reporter.refusedAt; at > 0 && now-at < refusedReportEvery {
-		return
-	}
-	vm.reporter.refusedAt = now
-	vm.log.WithFields(logrus.Fields{"from": from, "cause": err.Error()}).Warn("report refused")
-}
-
 // logDomain logs that a failure domain is suspect as a whole, or no longer.
 func (vm *VM) logDomain(e sparcookie.DomainChanged) {
 	what := "domain answers again"
