sparadmit: names with one sense, fields with a comment

overload was a number of requests, fullLoad a constant and a method, median a method of two types, fullLoadRefusing the case without a view and fullLoadViewed the one in which flows are refused as well; delayed was commented as overload, which it has not been since refusals need a third condition. 0.5 in control has a name. In the tests, the type server is called upstream as everywhere else, and the spread of the work has a name; wantBase takes its median from that (0.896) and not from 0.89.

--- a/internal/route/sparadmit/control.go
+++ b/internal/route/sparadmit/control.go
@@ -12,24 +12,25 @@
 	// fullLoad is the number of requests under way per slot from which all slots are taken. The load of
 	// the other VMs is an estimate, and requests on the path count in it.
 	fullLoad = 1.25
-	// fullLoadViewed and fullLoadRefusing replace fullLoad while flows are refused, with a recent
-	// view and without one: then this VM may refuse more than others.
-	fullLoadViewed   = 1.0
-	fullLoadRefusing = 0.5
+	// fullLoadRefusing and fullLoadAlone replace fullLoad while flows are refused: with a recent view, and
+	// without one. A VM without a view that refuses more than others has less load than they have.
+	fullLoadRefusing = 1.0
+	fullLoadAlone    = 0.5
 	// lowLoad is the number of requests under way per slot below which few requests queue.
 	lowLoad = 0.7
-	// overload is the number of requests under way per slot that means overload if nothing
+	// unknownOverload is the number of requests under way per slot that means overload if nothing
 	// is known of response times.
-	overload = 3.0
-	// maxQueueing limits the queueing delay that the control responds to.
+	unknownOverload = 3.0
+	// maxQueueing limits the queueing delay that the control responds to, as a multiple of the allowed one.
 	maxQueueing = 3.0
 	// integralGain is the growth of the refused share per second at twice the allowed delay.
 	integralGain = 1.0
 	// trendGain is the growth of the refused share as the delay grows by the allowed one.
 	trendGain = 0.2
-	// releaseGain replaces integralGain below half of the allowed delay, so that slots are
-	// not left free.
-	releaseGain = 2.0
+	// releaseBelow is the delay, as a multiple of the allowed one, below which releaseGain replaces
+	// integralGain, so that slots are not left free.
+	releaseBelow = 0.5
+	releaseGain  = 2.0
 	// decay is the rate, per second, at which the refused share decays, so that the shares of VMs
 	// do not drift apart.
 	decay = 1.2
@@ -42,7 +43,7 @@
 
 // control sets the share of refused flows from a window.
 func (l *Limiter) control(now, length time.Duration) {
-	before, queueing := l.queueing, l.median(now)
+	before, queueing := l.queueing, l.windowQueueing(now)
 	l.countDelayed(now, queueing > 1)
 	l.queueing = l.confirmed(now, queueing)
 	if l.refused == 0 && (l.delayed < startWindows || l.queueing <= 1) {
@@ -50,7 +51,7 @@
 		return
 	}
 	gain := integralGain
-	if l.queueing < 0.5 {
+	if l.queueing < releaseBelow {
 		gain = releaseGain
 	}
 	seconds := length.Seconds()
@@ -87,31 +88,31 @@
 	return l.refused
 }
 
-// median returns the median queueing delay of the window as a multiple of the allowed one, or 0
+// windowQueueing returns the median queueing delay of the window as a multiple of the allowed one, or 0
 // while slots are free.
-func (l *Limiter) median(now time.Duration) float64 {
+func (l *Limiter) windowQueueing(now time.Duration) float64 {
 	perSlot := l.perSlot(now)
 	switch {
-	case perSlot < l.fullLoad(now), l.relieved(now):
+	case perSlot < l.fullFrom(now), l.relieved(now):
 		return 0
 	case len(l.queued) >= minResponses:
 		slices.Sort(l.queued)
 		return min(l.queued[len(l.queued)/2], maxQueueing)
 	case l.answered >= minResponses:
-		return min(perSlot/overload, maxQueueing) // response times are not known yet
+		return min(perSlot/unknownOverload, maxQueueing) // response times are not known yet
 	}
 	return 0
 }
 
-// fullLoad returns the requests under way per slot from which all slots are taken.
-func (l *Limiter) fullLoad(now time.Duration) float64 {
+// fullFrom returns the requests under way per slot from which all slots are taken.
+func (l *Limiter) fullFrom(now time.Duration) float64 {
 	switch {
 	case l.refused == 0:
 		return fullLoad
 	case l.viewed(now):
-		return fullLoadViewed
+		return fullLoadRefusing
 	}
-	return fullLoadRefusing
+	return fullLoadAlone
 }
 
 // end ends an overload after some time without refusals.
--- a/internal/route/sparadmit/limiter.go
+++ b/internal/route/sparadmit/limiter.go
@@ -12,8 +12,8 @@
 //		// refuse the flow
 //	}
 //
-// The share of flows that it refuses follows from the queueing delay of responses. The least
-// urgent priority is refused first. Limiters of several VMs before the same upstreams converge
+// The share of flows that it refuses follows from the queueing delay of responses, once requests on new
+// flows queue as well. The least urgent priority is refused first. Limiters of several VMs before the same upstreams converge
 // to the same share without messages. A Limiter does no I/O and reads no clock.
 package sparadmit
 
@@ -59,12 +59,12 @@
 
 	// Limiter is the admission state of one service. Create it with New.
 	Limiter struct {
-		view     View
-		viewAt   time.Duration
-		viewMean float64 // requests under way by the views of the last second
-		ownVMs   int
-		ownSlots int
-		perOwn   float64 // requests under way at all VMs for each of this VM, by views; 0 if unknown
+		view     View          // last one
+		viewAt   time.Duration // when it was set
+		viewMean float64       // requests under way by the views of the last second
+		vms      int           // VMs in the settings
+		slots    int           // of the upstreams that take new flows, by the settings
+		perOwn   float64       // requests under way at all VMs for each of this VM, by views; 0 if unknown
 
 		began    time.Duration // start of the window
 		requests int           // in the window
@@ -77,13 +77,13 @@
 		response float64 // mean response time in seconds
 		base     float64 // mean response time without queueing, in seconds
 		path     path
-		queueing float64 // median of the last window
+		queueing float64 // median delay that counts, of the last window
 		windows  int     // that have ended
-		delayed  int     // windows in a row with overload
+		delayed  int     // windows in a row in which requests queued for longer than allowed
 		placed   placedDelays
-		refused  float64 // share of new flows
-		since    time.Duration
-		lastShed time.Duration
+		refused  float64       // share of new flows
+		since    time.Duration // start of the overload, or 0
+		lastShed time.Duration // end of the last window in which flows were refused
 		shedder  shedder
 	}
 )
@@ -92,7 +92,7 @@
 func New() *Limiter { return &Limiter{queued: make([]float64, 0, maxResponses)} }
 
 // SetPool sets the slots of the upstreams that take new flows, and the number of VMs.
-func (l *Limiter) SetPool(slots, vms int) { l.ownSlots, l.ownVMs = slots, max(vms, 1) }
+func (l *Limiter) SetPool(slots, vms int) { l.slots, l.vms = slots, max(vms, 1) }
 
 // SetView sets the load at all VMs. Without a recent one, a Limiter takes its own load for that
 // of each VM, unless earlier views have shown that its load is above the mean.
--- a/internal/route/sparadmit/load.go
+++ b/internal/route/sparadmit/load.go
@@ -9,9 +9,9 @@
 	loadSpan = 500 * time.Millisecond
 	// reliefTime is the least time over which fewer requests show that the demand has fallen.
 	reliefTime = 200 * time.Millisecond
-	// meanCount is the number of samples that the means of base and views reach back.
+	// meanCount is the number of samples that the means of Limiter.base and perOwn reach back.
 	meanCount = 64
-	// viewCount is the number of views in a second.
+	// viewCount is the number of views in a second, one in each tick of a VM.
 	viewCount = 20
 	// minOwnPending is the number of requests under way at this VM from which views show its part of the load.
 	minOwnPending = 1.0
@@ -73,7 +73,7 @@
 		response = l.waited.Seconds() / float64(l.answered)
 	}
 	pending := float64(l.requests) / length.Seconds() * max(0, response-l.path.seconds()) * l.scale()
-	return pending < fullLoadRefusing*float64(l.ownSlots)
+	return pending < fullLoadAlone*float64(l.slots)
 }
 
 // slotsFree reports whether so many slots are free that few requests queue.
@@ -99,13 +99,13 @@
 		}
 		return v
 	}
-	return View{Pending: l.pending(now) * l.scale(), Slots: l.ownSlots, VMs: 1}
+	return View{Pending: l.pending(now) * l.scale(), Slots: l.slots, VMs: 1}
 }
 
 // scale returns the factor from the load of this VM to that of all VMs without a recent view. Views may
 // lower it alone: a VM with few callers can't tell the load of the others from its own.
 func (l *Limiter) scale() float64 {
-	vms := float64(l.ownVMs)
+	vms := float64(l.vms)
 	if l.perOwn == 0 {
 		return vms
 	}
--- a/internal/route/sparadmit/pool_test.go
+++ b/internal/route/sparadmit/pool_test.go
@@ -28,7 +28,7 @@
 		now       time.Duration
 		due       map[time.Duration][]func()
 		domains   int // failure domains
-		upstreams []*server
+		upstreams []*upstream
 		vms       []*vm
 		kinds     []kind
 		batch     int        // requests that arrive at the same time
@@ -73,7 +73,7 @@
 func newDomains(domains, vms, upstreams int, kinds ...kind) *pool {
 	p := &pool{rng: rand.New(rand.NewPCG(1, seed)), due: map[time.Duration][]func(){}, domains: domains, kinds: kinds, batch: 1}
 	for i := range upstreams {
-		p.upstreams = append(p.upstreams, &server{slow: 1, domain: i % domains})
+		p.upstreams = append(p.upstreams, &upstream{slow: 1, domain: i % domains})
 	}
 	for range vms {
 		p.addVM()
--- a/internal/route/sparadmit/times_test.go
+++ b/internal/route/sparadmit/times_test.go
@@ -1,6 +1,7 @@
 package sparadmit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -9,7 +10,7 @@
 // its median, of which work and path are known.
 func (p *pool) wantBase(t *testing.T, kind int, least, most float64) {
 	t.Helper()
-	median := 0.89*p.kinds[kind].work.Seconds() + path.Seconds() // of the work of serve
+	median := math.Exp(workMean)*p.kinds[kind].work.Seconds() + path.Seconds()
 	for i, v := range p.vms {
 		got := v.times[kind].Base().Seconds() / median
 		if got < least || got > most {
--- a/internal/route/sparadmit/server_test.go
+++ b/internal/route/sparadmit/upstream_test.go
@@ -7,8 +7,15 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparadmit"
 )
 
-// server is an upstream.
-type server struct {
+const (
+	// workSpread is the standard deviation of the logarithm of a request's work, and workMean its mean,
+	// with which the mean work is that of its kind.
+	workSpread = 0.47
+	workMean   = -0.11
+)
+
+// upstream works on requests in its slots.
+type upstream struct {
 	domain  int
 	slow    float64 // factor of the work
 	gone    bool    // takes no flows
@@ -83,9 +90,9 @@
 	return 4*own*vms >= 3*free
 }
 
-func (p *pool) serve(u *server, r *request) {
+func (p *pool) serve(u *upstream, r *request) {
 	u.busy++
-	work := float64(p.kinds[r.kind].work) * u.slow * math.Exp(0.47*p.rng.NormFloat64()-0.11)
+	work := float64(p.kinds[r.kind].work) * u.slow * math.Exp(workSpread*p.rng.NormFloat64()+workMean)
 	p.after(time.Duration(work), func() {
 		u.busy--
 		if u.silent {
