sparevidence: constants with names, comments that say what is held

Two figures in functions have names and reasons (leastUsualLoss, leastChange). Comments that a newcomer has to guess at, or that told half: mayEject, answersWanted, limitEjections (the others keep a trickle), unanimous, waited (seconds in a field for counts), Budget, the times of a source. verdict.go held no verdict, which is a word of probes: subject.go. No behaviour changes; tests pass.

--- a/internal/route/sparevidence/board.go
+++ b/internal/route/sparevidence/board.go
@@ -20,8 +20,8 @@
 		subjects   map[uint64]*subject
 		changed    bool // evidence has arrived since the last Evaluate
 		evaluated  time.Duration
-		pausedAt   time.Duration
-		lastCall   time.Duration
+		pausedAt   time.Duration // end of the last pause of this VM
+		lastCall   time.Duration // of Observe, Receive or Evaluate
 		composer
 	}
 
@@ -39,9 +39,9 @@
 	// serviceRecord is what this VM has seen of one service.
 	serviceRecord struct {
 		tally
-		waited    tally // in seconds, as Answered
-		load      map[string]int
-		refused   float64 // openings, decaying over refusedSpan
+		waited    tally          // whose Answered is the sum of response times, in seconds
+		load      map[string]int // requests under way, by failure domain
+		refused   float64        // openings, decaying over refusedSpan
 		refusedAt time.Duration
 	}
 )
@@ -174,7 +174,7 @@
 		s.answers += n
 		b.changed = b.changed || s.weight == 0
 	}
-	b.urgent = b.urgent || b.answersWanted(id) // others may be about to eject it
+	b.urgent = b.urgent || b.answersWanted(id)
 }
 
 func (b *Board) observeService(now time.Duration, obs ServiceObservation) {
--- a/internal/route/sparevidence/budget.go
+++ b/internal/route/sparevidence/budget.go
@@ -8,11 +8,11 @@
 // bytesPerSecond bounds what a VM sends in reports.
 const bytesPerSecond = 4096
 
-// Budget bounds the bytes of messages, with a second's worth saved up. The zero Budget is full and for
-// reports.
+// Budget bounds the bytes of messages; those of one second may be sent at once. The zero Budget bounds
+// reports, and nothing is spent of it.
 type Budget struct {
-	PerSecond float64 // bytes, 0 for those of reports
-	spent     float64
+	PerSecond float64 // bytes, 0 for bytesPerSecond
+	spent     float64 // bytes that count now
 	at        time.Duration
 }
 
--- a/internal/route/sparevidence/evidence.go
+++ b/internal/route/sparevidence/evidence.go
@@ -32,7 +32,7 @@
 	// leastCount is the decayed count of failures from which on a VM is a witness: one failure
 	// within the last 8 s.
 	leastCount = 0.2
-	// vmSamples bounds the part of one VM: its counts are scaled down to as many samples.
+	// vmSamples bounds what one VM contributes: its counts are scaled down to as many samples.
 	vmSamples = 4
 )
 
@@ -69,9 +69,9 @@
 	// ServiceObservation is what a VM has seen of a service since the last one.
 	ServiceObservation struct {
 		Service string
-		Waited  time.Duration // by all requests that were answered
-		Load    map[string]int
-		Refused int // openings
+		Waited  time.Duration  // by all requests that were answered
+		Load    map[string]int // requests under way, by failure domain
+		Refused int            // openings
 	}
 
 	// Observations is what a VM has seen since the last ones.
--- a/internal/route/sparevidence/judge.go
+++ b/internal/route/sparevidence/judge.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// mayEject reports whether the evidence of others is enough. It is not for an upstream that
-// answers this VM, nor for one that answered some VMs and not others lately: this VM may be one of those
-// that reach it.
+// mayEject reports whether the evidence of others is enough. It is not for an upstream that has just
+// answered this VM. If the upstream answered some VMs and not others lately, this VM must have seen it fail
+// itself.
 func (b *Board) mayEject(s *subject, e merged, m *merger) bool {
 	if b.reaches(e.id, m.now) {
 		return false
@@ -94,7 +94,7 @@
 	if m.now-e.onset >= confirmTime {
 		return true
 	}
-	usual := max(m.peers(b.upstreams[e.id].Service).FailureRatio(), 0.05)
+	usual := max(m.peers(b.upstreams[e.id].Service).FailureRatio(), leastUsualLoss)
 	return e.inARow >= max(confirmFailures, math.Log(confirmChance)/math.Log(min(usual, failedRatio)))
 }
 
--- a/internal/route/sparevidence/merge.go
+++ b/internal/route/sparevidence/merge.go
@@ -39,12 +39,12 @@
 		failing     int           // VMs that have seen failures
 		slow        int           // VMs that have seen slow answers
 		witnesses   []string      // VMs of either kind
-		unanimous   bool          // each VM that reports to this one has seen nothing but failures
+		unanimous   bool          // as many VMs as report to this one have told of it, all of nothing but failures
 		split       bool          // it has answered a VM since onset
 		answersHere bool          // it has answered this VM since the others saw it fail
-		fineHere    bool          // and it has not failed this VM lately
+		fineHere    bool          // answersHere, and it has not failed this VM lately
 		hanging     int           // VMs whose requests hang
-		answersSome bool          // it has answered a VM meanwhile
+		answersSome bool          // it has answered a VM since requests hang at two
 
 		hangingSpread time.Duration // between the first and the last of them
 	}
--- a/internal/route/sparevidence/report.go
+++ b/internal/route/sparevidence/report.go
@@ -74,14 +74,14 @@
 	// source is the last report of another VM.
 	source struct {
 		run, before uint32        // this run, and the one before
-		sent        time.Duration // by the clock of the VM
-		received    time.Duration
-		least       time.Duration // smallest receipt minus sent of this run
+		sent        time.Duration // by the clock of its sender
+		received    time.Duration // as at, by the clock of this VM
+		least       time.Duration // least difference of received and sent in this run
 		at          time.Duration // when it was sent, by the clock of this VM
 		sick        bool
 		entries     map[uint64]heardEntry
 		services    map[string]heardService
-		partial     bool // services may be in the reports before the last one alone
+		partial     bool // the last report left services out
 	}
 
 	// heardService is an entry by the clock of this VM.
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// validAge reports whether an age lies in the past. That of an event long ago is left out.
+// validAge reports whether an age is one that a VM sends.
 func validAge(ago time.Duration) bool { return ago == Never || ago >= 0 && ago <= MaxAge }
 
 func (c Counts) valid() bool {
--- a/internal/route/sparevidence/verdict.go
+++ b/internal/route/sparevidence/subject.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// evaluateEvery is the time between two evaluations without new evidence.
-	// evaluateAfter is the least time between two with it.
+	// evaluateEvery is the time between two evaluations without new evidence, and evaluateAfter the
+	// least time between two with it.
 	evaluateEvery = 250 * time.Millisecond
 	evaluateAfter = 100 * time.Millisecond
 
@@ -23,8 +23,9 @@
 	confirmTime     = time.Second
 	confirmFailures = 3.5
 	// confirmChance is the chance that as many failures in a row are due to what the service
-	// loses anyway.
-	confirmChance = 1e-4
+	// loses anyway, and leastUsualLoss the least share that it is taken to lose.
+	confirmChance  = 1e-4
+	leastUsualLoss = 0.05
 	// baseEjection is how long an ejection by evidence lasts at first. Each one that follows
 	// another doubles it, up to maxEjection.
 	baseEjection = 2 * time.Second
@@ -51,6 +52,8 @@
 	failMargin = 0.15
 	slowMargin = 0.3
 	rampSpan   = 0.15
+	// leastChange is the least change of a weight that is told, but for those to 0 and 1.
+	leastChange = 0.1
 )
 
 // Causes of a weight.
@@ -101,8 +104,8 @@
 	return s
 }
 
-// answersWanted reports whether others need answers of an upstream at once: it is about to be
-// ejected, is ejected or on trial.
+// answersWanted reports whether others should hear at once that an upstream has answered: it is about
+// to be ejected, is ejected or on trial.
 func (b *Board) answersWanted(id uint64) bool {
 	s := b.subjects[id]
 	return s != nil && (s.doubted || s.ejectedUntil > 0 || s.trialSince > 0)
@@ -153,9 +156,8 @@
 
 // publish sets the weight of a subject. Small changes are not worth telling.
 func (b *Board) publish(id uint64, o opinion) (c Change, changed bool) {
-	const least = 0.1
 	s := b.subjects[id]
-	small := max(o.weight-s.weight, s.weight-o.weight) < least && o.weight != 0 && o.weight != 1
+	small := max(o.weight-s.weight, s.weight-o.weight) < leastChange && o.weight != 0 && o.weight != 1
 	if small || o.weight == s.weight {
 		return Change{}, false
 	}
@@ -164,7 +166,7 @@
 }
 
 // limitEjections leaves at most half of the upstreams of a service ejected, those with the most
-// evidence, unless all VMs that report agree on the others too.
+// failures. The others get a trickle. Upstreams on which all VMs that report agree don't count.
 func (b *Board) limitEjections(opinions map[uint64]opinion) {
 	ejected := map[string][]uint64{}
 	for id, o := range opinions {
