sparevidence, sparadmit, sparcontrol: long tests split, names that tell the load

Tables of TestHangingRequests and TestReportsAreRefused stand before the test, with what their columns mean; serve of the fleet of sparevidence is two functions. The cases and checks are the same.

--- a/internal/peer/sparcontrol/evidence_test.go
+++ b/internal/peer/sparcontrol/evidence_test.go
@@ -28,6 +28,7 @@
 	return r
 }
 
+// TestEvidence encodes and decodes a report with all that it can tell.
 func TestEvidence(t *testing.T) {
 	want := report(2)
 	want.Services[0].Load = []sparevidence.DomainLoad{{Domain: "north", Requests: 3}}
@@ -105,6 +106,7 @@
 	b.Observe(now, o)
 }
 
+// TestEvidenceOutOfRange covers reports that no VM sends: they are refused as they are decoded, or by the board.
 func TestEvidenceOutOfRange(t *testing.T) {
 	tests := map[string]func(r *sparevidence.Report){
 		"nameless":     func(r *sparevidence.Report) { r.From = "" },
--- a/internal/route/sparadmit/limiter_test.go
+++ b/internal/route/sparadmit/limiter_test.go
@@ -82,9 +82,9 @@
 	wantAtMost(t, "usual response time in ms", float64(route.Base().Milliseconds()), 45)
 }
 
-// TestView covers a VM whose callers are few compared with those of the others. It learns from the
+// TestFewCallersWithReports covers a VM whose callers are few compared with those of the others. It learns from the
 // figures of all VMs that slots are taken, as long as they are recent.
-func TestView(t *testing.T) {
+func TestFewCallersWithReports(t *testing.T) {
 	l := sparadmit.New()
 	l.SetPool(100, 1)
 	route := sparadmit.NewTimes(400 * time.Millisecond)
--- a/internal/route/sparevidence/fleet_test.go
+++ b/internal/route/sparevidence/fleet_test.go
@@ -120,46 +120,45 @@
 // serve sends the new requests of one VM in a step and tells its board what it sees.
 func (f *fleet) serve(m *member) {
 	var o sparevidence.Observations
-	see := func(id uint64, c sparevidence.Counts) {
-		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: id, Counts: c})
-	}
-	waited := time.Duration(0)
 	for len(m.late) > 0 && m.late[0].at <= f.now {
-		see(m.late[0].id, sparevidence.Counts{Failed: 1})
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: m.late[0].id, Counts: sparevidence.Counts{Failed: 1}})
 		m.late = m.late[1:]
 	}
-	expected := f.rate / float64(len(f.vms)) * step.Seconds()
-	for ; expected > 0; expected-- {
-		if f.random.Float64() >= expected {
-			continue
-		}
-		id := f.choose(m)
-		f.sent++
-		f.at[id]++
-		what := f.behave(m.index, id)
-		if what == answered || what == slow {
-			m.answers[id] = f.now
-		}
-		switch what {
-		case answered:
-			see(id, sparevidence.Counts{Opened: 1, Answered: 1})
-			waited += usual
-		case slow:
-			see(id, sparevidence.Counts{Opened: 1, Answered: 1, Slow: 1})
-			waited += 5 * usual
-		case mute:
-			see(id, sparevidence.Counts{Opened: 1})
-			m.late = append(m.late, lateFailure{at: f.now + noticed, id: id})
-			f.lost++
-		case silent:
-			see(id, sparevidence.Counts{Unanswered: 1})
-			f.lost++
+	waited := time.Duration(0)
+	for expected := f.rate / float64(len(f.vms)) * step.Seconds(); expected > 0; expected-- {
+		if f.random.Float64() < expected {
+			obs, took := f.request(m)
+			o.Upstreams = append(o.Upstreams, obs)
+			waited += took
 		}
 	}
 	o.Services = []sparevidence.ServiceObservation{{Service: service, Waited: waited}}
 	m.board.Observe(f.now, o)
 }
 
+// request sends a request of one VM and returns what the VM sees at once, and the response time.
+func (f *fleet) request(m *member) (obs sparevidence.Observation, waited time.Duration) {
+	obs.ID = f.choose(m)
+	f.sent++
+	f.at[obs.ID]++
+	switch f.behave(m.index, obs.ID) {
+	case answered:
+		m.answers[obs.ID] = f.now
+		obs.Counts, waited = sparevidence.Counts{Opened: 1, Answered: 1}, usual
+	case slow:
+		m.answers[obs.ID] = f.now
+		obs.Counts, waited = sparevidence.Counts{Opened: 1, Answered: 1, Slow: 1}, 5*usual
+	case mute:
+		obs.Counts = sparevidence.Counts{Opened: 1}
+		m.late = append(m.late, lateFailure{at: f.now + noticed, id: obs.ID})
+		f.lost++
+	case silent:
+		obs.Counts = sparevidence.Counts{Unanswered: 1}
+		f.lost++
+	}
+	return obs, waited
+}
+
 // choose draws an upstream by weight; if all are ejected, any.
 func (f *fleet) choose(m *member) uint64 {
 	total := 0.0
--- a/internal/route/sparevidence/hanging_test.go
+++ b/internal/route/sparevidence/hanging_test.go
@@ -7,47 +7,52 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 )
 
+// gap is the usual time between the first requests that hang at two VMs.
+const gap = 100 * time.Millisecond
+
+// hangingCases are the reports of requests that hang at upstream 1, what else happens, and whether it is ejected.
+var hangingCases = []struct {
+	name  string
+	vms   int                   // that report such requests
+	gap   time.Duration         // between the first requests that hang at two VMs
+	play  func(b *hangingBoard) // nil for nothing more
+	eject bool
+}{
+	{"four VMs", 4, gap, nil, true},
+	{"three VMs and this one", 3, gap, func(b *hangingBoard) { b.see(sparevidence.Observation{ID: 1, Hanging: true}) }, true},
+	{"three VMs", 3, gap, nil, false},
+	{"at the same moment, as where flows move", 8, gap / 10, nil, false},
+	{"it answers another VM", 4, gap, func(b *hangingBoard) {
+		b.hear(5, sparevidence.Entry{ID: 1, Born: 7, Counts: sparevidence.Counts{Answered: 1}, Failed: sparevidence.Never, Streak: sparevidence.Never})
+	}, false},
+	{"it has answered this VM before", 4, gap, func(b *hangingBoard) {
+		b.see(progress.Upstreams[0])
+		b.now += 600 * time.Millisecond
+		for n := 1; n <= 4; n++ {
+			b.hear(n, hanging(1, time.Duration(n)*gap))
+		}
+	}, false},
+	{"so do a third of the service", 4, gap, func(b *hangingBoard) {
+		for n := 1; n <= 4; n++ {
+			since := time.Duration(n) * 2 * gap
+			b.now += step // after the report before
+			b.hear(n, hanging(1, since), hanging(2, since), hanging(3, since), hanging(4, since))
+		}
+	}, false},
+}
+
 // TestHangingRequests covers an upstream that acknowledges requests and answers none: requests of VMs hang
 // there, and no client has given up yet.
 func TestHangingRequests(t *testing.T) {
-	const gap = 100 * time.Millisecond // between the first requests that hang at two VMs
-	none := func(*hangingBoard) {}
-	tests := []struct {
-		name  string
-		vms   int
-		gap   time.Duration
-		play  func(b *hangingBoard)
-		eject bool
-	}{
-		{"four VMs", 4, gap, none, true},
-		{"three VMs and this one", 3, gap, func(b *hangingBoard) { b.see(sparevidence.Observation{ID: 1, Hanging: true}) }, true},
-		{"three VMs", 3, gap, none, false},
-		{"at the same moment, as where flows move", 8, gap / 10, none, false},
-		{"it answers another VM", 4, gap, func(b *hangingBoard) {
-			b.hear(5, sparevidence.Entry{ID: 1, Born: 7, Counts: sparevidence.Counts{Answered: 1}, Failed: sparevidence.Never, Streak: sparevidence.Never})
-		}, false},
-		{"it has answered this VM before", 4, gap, func(b *hangingBoard) {
-			b.see(progress.Upstreams[0])
-			b.now += 600 * time.Millisecond
-			for n := 1; n <= 4; n++ {
-				b.hear(n, hanging(1, time.Duration(n)*gap))
-			}
-		}, false},
-		{"so do a third of the service", 4, gap, func(b *hangingBoard) {
-			for n := 1; n <= 4; n++ {
-				since := time.Duration(n) * 2 * gap
-				b.now += step // after the report before
-				b.hear(n, hanging(1, since), hanging(2, since), hanging(3, since), hanging(4, since))
-			}
-		}, false},
-	}
-	for _, test := range tests {
+	for _, test := range hangingCases {
 		t.Run(test.name, func(t *testing.T) {
 			b := newHangingBoard(t)
 			for n := 1; n <= test.vms; n++ {
 				b.hear(n, hanging(1, time.Duration(n)*test.gap))
 			}
-			test.play(b)
+			if test.play != nil {
+				test.play(b)
+			}
 			ejected := false
 			for _, c := range b.Evaluate(b.now) {
 				ejected = ejected || c.Weight == 0
--- a/internal/route/sparevidence/report_test.go
+++ b/internal/route/sparevidence/report_test.go
@@ -43,33 +43,36 @@
 	}}
 }
 
+// refusedReports are changes to a report that make its receiver refuse it.
+var refusedReports = []struct {
+	name   string
+	change func(r *sparevidence.Report)
+	want   sparevidence.Refusal
+}{
+	{"unknown VM", func(r *sparevidence.Report) { r.From = "vm-77" }, sparevidence.UnknownVM},
+	{"own name", func(r *sparevidence.Report) { r.From = vmName(0) }, sparevidence.UnknownVM},
+	{"count that is no number", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Failed = math.NaN() }, sparevidence.OutOfRange},
+	{"infinite count", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Failed = math.Inf(1) }, sparevidence.OutOfRange},
+	{"negative count", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Opened = -1 }, sparevidence.OutOfRange},
+	{"more slow answers than answers", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Slow = 1 }, sparevidence.OutOfRange},
+	{"more bad upstreams than seen", func(r *sparevidence.Report) { r.Bad = 6 }, sparevidence.OutOfRange},
+	{"negative time", func(r *sparevidence.Report) { r.Sent = -1 }, sparevidence.OutOfRange},
+	{"response time", func(r *sparevidence.Report) {
+		r.Services = []sparevidence.ServiceEntry{{Service: service, Usual: 25 * time.Hour}}
+	}, sparevidence.OutOfRange},
+	{"very large", func(r *sparevidence.Report) { r.Upstreams = make([]sparevidence.Entry, 10_000) }, sparevidence.TooLarge},
+	{"many loads", func(r *sparevidence.Report) {
+		r.Services = []sparevidence.ServiceEntry{{Load: make([]sparevidence.DomainLoad, 10_000)}}
+	}, sparevidence.TooLarge},
+	{"duplicate", func(*sparevidence.Report) {}, sparevidence.Old},
+	{"reordered", func(r *sparevidence.Report) { r.Sent -= time.Second }, sparevidence.Old},
+	{"future", func(r *sparevidence.Report) { r.Sent += time.Hour }, sparevidence.Future},
+}
+
+// TestReportsAreRefused covers reports that are malformed, old or of unknown VMs: they change no weight.
 func TestReportsAreRefused(t *testing.T) {
 	now := time.Hour
-	tests := []struct {
-		name   string
-		change func(r *sparevidence.Report)
-		want   sparevidence.Refusal
-	}{
-		{"unknown VM", func(r *sparevidence.Report) { r.From = "vm-77" }, sparevidence.UnknownVM},
-		{"own name", func(r *sparevidence.Report) { r.From = vmName(0) }, sparevidence.UnknownVM},
-		{"count that is no number", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Failed = math.NaN() }, sparevidence.OutOfRange},
-		{"infinite count", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Failed = math.Inf(1) }, sparevidence.OutOfRange},
-		{"negative count", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Opened = -1 }, sparevidence.OutOfRange},
-		{"more slow answers than answers", func(r *sparevidence.Report) { r.Upstreams[0].Counts.Slow = 1 }, sparevidence.OutOfRange},
-		{"more bad upstreams than seen", func(r *sparevidence.Report) { r.Bad = 6 }, sparevidence.OutOfRange},
-		{"negative time", func(r *sparevidence.Report) { r.Sent = -1 }, sparevidence.OutOfRange},
-		{"response time", func(r *sparevidence.Report) {
-			r.Services = []sparevidence.ServiceEntry{{Service: service, Usual: 25 * time.Hour}}
-		}, sparevidence.OutOfRange},
-		{"very large", func(r *sparevidence.Report) { r.Upstreams = make([]sparevidence.Entry, 10_000) }, sparevidence.TooLarge},
-		{"many loads", func(r *sparevidence.Report) {
-			r.Services = []sparevidence.ServiceEntry{{Load: make([]sparevidence.DomainLoad, 10_000)}}
-		}, sparevidence.TooLarge},
-		{"duplicate", func(*sparevidence.Report) {}, sparevidence.Old},
-		{"reordered", func(r *sparevidence.Report) { r.Sent -= time.Second }, sparevidence.Old},
-		{"future", func(r *sparevidence.Report) { r.Sent += time.Hour }, sparevidence.Future},
-	}
-	for _, test := range tests {
+	for _, test := range refusedReports {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBoard(4, 10)
 			mustReceive(t, b, now, against(1, time.Minute))
