sparentry: tests of an evacuation across a restore, in two

Those whose copy lacks the evacuation are TestEvacuationLostByRestore, the others share their beginning.

--- a/internal/vm/sparentry/evacuation_test.go
+++ b/internal/vm/sparentry/evacuation_test.go
@@ -99,19 +99,24 @@
 	})
 }
 
-// TestEvacuationAcrossRestore restores the platform from an older copy beside an evacuation. The
-// operator writes again within the time that writers need.
-func TestEvacuationAcrossRestore(t *testing.T) {
-	const rewriteAfter = time.Second
-	start := func(t *testing.T) (*site, *vm) {
-		s := newSite(t)
-		v := s.start("vm-1")
-		eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
-		return s, v
-	}
-	t.Run("the copy lacks it", func(t *testing.T) {
+// rewriteAfter is how long operators take to write again what a restore has lost, within the time that
+// writers have.
+const rewriteAfter = time.Second
+
+// startRegistered returns a site with a VM that is registered.
+func startRegistered(t *testing.T) (*site, *vm) {
+	s := newSite(t)
+	v := s.start("vm-1")
+	eventually(t, "registered", func() bool { _, ok := s.fake.Get("vm/vm-1"); return ok })
+	return s, v
+}
+
+// TestEvacuationLostByRestore restores the platform from a copy that lacks an evacuation. It stays in force if
+// the operator asks for it again, and ends otherwise.
+func TestEvacuationLostByRestore(t *testing.T) {
+	t.Run("it is asked for again", func(t *testing.T) {
 		t.Parallel()
-		s, v := start(t)
+		s, v := startRegistered(t)
 		older := s.fake.Copy()
 		s.evacuate("north")
 		within(t, inForceWithin, "in force", v.evacuated("north"))
@@ -123,39 +128,42 @@
 			t.Errorf("the evacuation ended %d times", v.ended("north"))
 		}
 	})
-	t.Run("the copy lacks it and nobody asks again", func(t *testing.T) {
+	t.Run("nobody asks again", func(t *testing.T) {
 		t.Parallel()
-		s, v := start(t)
+		s, v := startRegistered(t)
 		older := s.fake.Copy()
 		s.evacuate("north")
 		within(t, inForceWithin, "in force", v.evacuated("north"))
 		s.fake.Restore(older)
 		within(t, settleWithin, "the platform decides", v.evacuated())
 	})
+}
+
+// TestEvacuationAcrossRestore restores the platform from a copy with an evacuation that was taken back
+// since. The operator takes it back again, or asks for it again.
+func TestEvacuationAcrossRestore(t *testing.T) {
+	takenBack := func(t *testing.T, upstreams int) (*site, *vm) {
+		s, v := startRegistered(t)
+		s.registerMany(upstreams)
+		s.evacuate("north")
+		within(t, inForceWithin, "in force", v.evacuated("north"))
+		older := s.fake.Copy()
+		s.takeBack("north")
+		within(t, inForceWithin, "ended", v.evacuated())
+		s.fake.Restore(older)
+		return s, v
+	}
 	for _, upstreams := range []int{0, manyUpstreams} { // read in full, and incrementally
-		t.Run(fmt.Sprintf("the copy has one that was taken back, and it is asked for again, %d upstreams", 1+upstreams), func(t *testing.T) {
+		t.Run(fmt.Sprintf("it is asked for again, %d upstreams", 1+upstreams), func(t *testing.T) {
 			t.Parallel()
-			s, v := start(t)
-			s.registerMany(upstreams)
-			s.evacuate("north")
-			within(t, inForceWithin, "in force", v.evacuated("north"))
-			older := s.fake.Copy()
-			s.takeBack("north")
-			within(t, inForceWithin, "ended", v.evacuated())
-			s.fake.Restore(older)
+			s, v := takenBack(t, upstreams)
 			s.evacuate("north")
 			within(t, inForceWithin, "in force again", v.evacuated("north"))
 		})
 	}
-	t.Run("the copy has one that was taken back", func(t *testing.T) {
+	t.Run("it is taken back again", func(t *testing.T) {
 		t.Parallel()
-		s, v := start(t)
-		s.evacuate("north")
-		within(t, inForceWithin, "in force", v.evacuated("north"))
-		older := s.fake.Copy()
-		s.takeBack("north")
-		within(t, inForceWithin, "ended", v.evacuated())
-		s.fake.Restore(older)
+		s, v := takenBack(t, 0)
 		time.Sleep(rewriteAfter)
 		s.takeBack("north")
 		within(t, settleWithin, "settled", v.settled(2))
