--- a/internal/member/sparsync/reclaim.go
+++ b/internal/member/sparsync/reclaim.go
@@ -9,7 +9,7 @@
 	// reclaimShare is how long, as a share of the bound, a VM of a higher class leaves reading to
 	// one of a lower class, so that a VM that restarts again and again does not take it each time.
 	reclaimShare = 2
-	// reclaimStagger is the extra delay of each doubling of the rank.
+	// reclaimStagger is the extra delay, as a share of the bound, of each doubling of the rank.
 	reclaimStagger = 0.25
 )
 
--- a/internal/member/sparsync/uneven_test.go
+++ b/internal/member/sparsync/uneven_test.go
@@ -88,53 +88,55 @@
 	}
 }
 
+// largeFaults take the large VMs of a fleet away.
+var largeFaults = []struct {
+	name string
+	do   func(s *sim, large []*member)
+}{
+	{"all large VMs killed", func(s *sim, large []*member) {
+		for _, m := range large {
+			m.kill()
+		}
+	}},
+	{"half of them cut off from all", func(s *sim, large []*member) {
+		for i, m := range large {
+			if i%2 == 0 {
+				m.partition, m.silent = 1, true
+			}
+		}
+	}},
+	{"half of them cut off from the other VMs", func(s *sim, large []*member) {
+		for i, m := range large {
+			if i%2 == 0 {
+				m.partition = 1
+			}
+		}
+	}},
+	{"the platform refuses all of them", func(s *sim, large []*member) {
+		for _, m := range large {
+			m.refused = true
+		}
+	}},
+	{"all of them receive no datagrams", func(s *sim, large []*member) {
+		for _, m := range large {
+			m.unreachable = true
+		}
+	}},
+	{"all of them restart as small ones", func(s *sim, large []*member) {
+		for _, m := range large {
+			m.vm.Size = smallClass
+		}
+		s.restart(large, 200*time.Millisecond)
+		s.relist()
+	}},
+}
+
 // TestUnevenFleetUnderFaults takes the large VMs away, which read and have the first places of the
 // tree. The simulation checks throughout that settings are in force within the bound on each VM
 // that reaches the platform.
 func TestUnevenFleetUnderFaults(t *testing.T) {
-	faults := []struct {
-		name string
-		do   func(s *sim, large []*member)
-	}{
-		{"all large VMs killed", func(s *sim, large []*member) {
-			for _, m := range large {
-				m.kill()
-			}
-		}},
-		{"half of them cut off from all", func(s *sim, large []*member) {
-			for i, m := range large {
-				if i%2 == 0 {
-					m.partition, m.silent = 1, true
-				}
-			}
-		}},
-		{"half of them cut off from the other VMs", func(s *sim, large []*member) {
-			for i, m := range large {
-				if i%2 == 0 {
-					m.partition = 1
-				}
-			}
-		}},
-		{"the platform refuses all of them", func(s *sim, large []*member) {
-			for _, m := range large {
-				m.refused = true
-			}
-		}},
-		{"all of them receive no datagrams", func(s *sim, large []*member) {
-			for _, m := range large {
-				m.unreachable = true
-			}
-		}},
-		{"all of them restart as small ones", func(s *sim, large []*member) {
-			for _, m := range large {
-				m.vm.Size = smallClass
-			}
-			s.restart(large, 200*time.Millisecond)
-			s.relist()
-		}},
-	}
 	for _, u := range unevenFleets {
-		for _, fault := range faults {
+		for _, fault := range largeFaults {
 			t.Run(fmt.Sprintf("%s, %v", fault.name, u), func(t *testing.T) {
 				t.Parallel()
 				s := u.start(t)
@@ -145,13 +147,7 @@
 				s.run(bound + time.Second)
 				t.Logf("a change at the same time is in force after %v", s.slowest)
 				s.churn(8 * time.Second)
-				for _, m := range large {
-					m.partition, m.silent, m.refused, m.unreachable, m.vm.Size = 0, false, false, false, largeClass
-					if !m.running {
-						m.start()
-					}
-				}
-				s.relist()
+				s.mendLarge(large)
 				s.churn(5 * bound)
 				s.checkServing()
 				if readers := s.readers(); len(readers) != 1 || readers[0].rate != largeRate {
@@ -162,6 +158,17 @@
 	}
 }
 
+// mendLarge ends the faults of large VMs.
+func (s *sim) mendLarge(large []*member) {
+	for _, m := range large {
+		m.partition, m.silent, m.refused, m.unreachable, m.vm.Size = 0, false, false, false, largeClass
+		if !m.running {
+			m.start()
+		}
+	}
+	s.relist()
+}
+
 // checkServing fails if a small VM has handed its settings to more than two at once, or a large one,
 // whose link is faster, to more than eight.
 func (s *sim) checkServing() {
@@ -181,7 +188,7 @@
 // with a class read first, and settings are in force within the bound.
 func TestClassesUnknown(t *testing.T) {
 	for _, known := range []int{0, 1, 2} {
-		t.Run(fmt.Sprintf("every VM but %d of 2", 2-known), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of 2 VMs have a class", known), func(t *testing.T) {
 			s := unevenFleets[1].start(t)
 			for i, m := range s.vms {
 				if i%2 >= known {
@@ -193,7 +200,7 @@
 			s.churn(6 * time.Second)
 			readers := s.readers()
 			if len(readers) != 1 || known > 0 && readers[0].vm.Size == 0 {
-				t.Errorf("readers %v, want one whose class is known if any is", len(readers))
+				t.Errorf("%d readers, want one whose class is known if any is", len(readers))
 			}
 		})
 	}
