sparcontrol: a time of sending that wraps is refused; full_rings counts all rings

A reader asked whether an Evidence sent after 2^63 ms passes the bound. It did, as -1 ms or 1 ms: TestSentOutOfRange failed with three of its four values. It named its own time only, so no decision was wrong. full_rings left out the rings to the goroutines that pull, read, write and connect.

--- a/internal/peer/sparcontrol/evidence.go
+++ b/internal/peer/sparcontrol/evidence.go
@@ -39,7 +39,7 @@
 	if len(m.Upstreams) > sparevidence.MaxEntries || len(m.Services) > sparevidence.MaxEntries {
 		return ReceivedEvidence{}, errors.Errorf("%d upstreams and %d services, expected at most %d", len(m.Upstreams), len(m.Services), sparevidence.MaxEntries)
 	}
-	if time.Duration(m.Sent) > maxAge/time.Millisecond {
+	if m.Sent > uint64(maxAge/time.Millisecond) {
 		return ReceivedEvidence{}, errors.Errorf("sent %d ms after a start, expected at most %s", m.Sent, maxAge)
 	}
 	services := slices.DeleteFunc(slices.Clone(m.Services), func(w *Workload) bool { return w.GetService() == "" })
--- a/internal/peer/sparcontrol/evidence_test.go
+++ b/internal/peer/sparcontrol/evidence_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/oleanderspar/oleanderspar/internal/peer/sparcontrol"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
 )
@@ -134,6 +136,19 @@
 	}
 }
 
+// TestSentOutOfRange covers times that no Report can hold: in milliseconds, the last one becomes 1 ms if it wraps.
+func TestSentOutOfRange(t *testing.T) {
+	for _, sent := range []uint64{1 << 62, 1 << 63, 1<<64 - 1, 1<<63 + 1} {
+		b, err := proto.Marshal(&sparcontrol.Datagram{Body: &sparcontrol.Datagram_Evidence{Evidence: &sparcontrol.Evidence{From: "vm-2", Sent: sent}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if in, err := sparcontrol.Decode(b); err == nil {
+			t.Errorf("%d ms: %+v", sent, in)
+		}
+	}
+}
+
 // FuzzEvidence hands arbitrary datagrams to a board. What it takes leaves each weight in [0, 1].
 func FuzzEvidence(f *testing.F) {
 	f.Add(sparcontrol.EncodeEvidence(report(2)))
--- a/internal/vm/sparentry/metrics.go
+++ b/internal/vm/sparentry/metrics.go
@@ -63,7 +63,8 @@
 	m.count("early_packets", m.early.Load())
 	m.count("unread_datagrams", m.unread.Load())
 	m.count("unsent_datagrams", m.unsent.Load())
-	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.queries.Refused())
+	m.count("full_rings", vm.packets.Refused()+vm.inputs.Refused()+vm.queries.Refused()+
+		vm.pulls.Refused()+vm.reads.Refused()+vm.writes.Refused()+vm.connects.Refused())
 	m.publishEvacuations(vm)
 	roster := vm.engine.Roster()
 	m.set.Scope.Gauge("settings_revision").Update(float64(roster.At.Revision))
