sparcookie: one word for one thing; files and structs by subject

Cause: waiting, silent, overdue, pending and probe each named several things, and the upstream had 35 fields in no order. Now a request without a response is pending, one that is watched for hanging is watched, a SYN unanswered after synAckTimeout is missed, overdue is of requests only. hanging.go, suspect.go, gone.go and replaced.go hold one state each, resetpending.go (was waiting.go) the resets without a client's packet (EndWaiting is now ResetPending), domainprobe.go (was probe.go) the SYNs that probe a suspect domain, opening.go the SYNs that are due. The fields of upstream and Engine are grouped by what they serve. No behaviour changes.

Wrong comments mended: UpstreamGone, GoneResets and Tick said less than the code does after the merges.

Ruled out: renaming Verdict.Silent, sparprobe.Suspect and log fields; they say what they mean. No test changed, apart from names of functions.

--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -15,31 +15,18 @@
 	// capacity: all VMs see it with no flows and would send it theirs at once.
 	slowStartTime  = time.Second
 	slowStartShare = 0.25
-	// pauseLimit is the time between two checks of openings from which on this VM was paused: then
-	// responses may be waiting that it has not read.
-	pauseLimit = 100 * time.Millisecond
-	// maxOpenings bounds the SYNs that wait for synAckTimeout: those of 5,000 new flows a second.
-	maxOpenings = 256
 )
 
-type (
-	// domainState is what this VM sees of a failure domain and its upstreams of all services.
-	domainState struct {
-		name         string
-		usable       int                    // upstreams that take new flows
-		lastResponse time.Duration          // of any upstream
-		silent       int                    // upstreams that left a SYN unanswered since lastResponse
-		suspectSince time.Duration          // 0 while the domain is not suspect
-		answered     int                    // upstreams that have answered since suspectSince
-		probes       map[string]domainProbe // last ones since suspectSince, by service
-	}
-
-	// opening is a SYN whose response is not yet due.
-	opening struct {
-		upstream *upstream
-		at       time.Duration
-	}
-)
+// domainState is what this VM sees of a failure domain and its upstreams of all services.
+type domainState struct {
+	name         string
+	usable       int                    // upstreams that take new flows
+	lastResponse time.Duration          // of any upstream
+	missedSYN    int                    // upstreams that left a SYN unanswered since lastResponse
+	suspectSince time.Duration          // 0 while the domain is not suspect
+	answered     int                    // upstreams that have answered since suspectSince
+	probes       map[string]domainProbe // last ones since suspectSince, by service
+}
 
 // domainOf returns the state of a failure domain.
 func (e *Engine) domainOf(name string) *domainState {
@@ -82,60 +69,31 @@
 	}
 }
 
-// noteOpening records a SYN sent to u, which has to be answered within synAckTimeout.
-func (e *Engine) noteOpening(u *upstream) {
-	u.lastSYN = e.now
-	if len(e.openings) < maxOpenings && !e.JustPaused() {
-		e.openings = append(e.openings, opening{upstream: u, at: e.now})
-	}
-}
-
-// checkOpenings notes the SYNs whose response has become due and has not arrived.
-func (e *Engine) checkOpenings() {
-	if e.now-e.checkedAt >= pauseLimit {
-		e.openings = e.openings[:0]
-		e.pausedAt = e.now
-	}
-	e.checkedAt = e.now
-	due := 0
-	for _, o := range e.openings {
-		if e.now-o.at < synAckTimeout {
-			break
-		}
-		due++
-		if o.upstream.lastResponse < o.at {
-			e.noteUnopened(o.upstream)
-			e.noteSilent(o)
-		}
-	}
-	e.openings = append(e.openings[:0], e.openings[due:]...)
-}
-
-// noteSilent counts an upstream that leaves a SYN unanswered, once until its failure domain
-// answers.
-func (e *Engine) noteSilent(o opening) {
+// noteMissedSYN counts an upstream that leaves a SYN unanswered for its failure domain, once until the
+// domain answers.
+func (e *Engine) noteMissedSYN(o opening) {
 	u, d := o.upstream, o.upstream.domain
-	if d.lastResponse >= o.at || u.silentAt > d.lastResponse {
+	if d.lastResponse >= o.at || u.syn.missedAt > d.lastResponse {
 		return
 	}
-	u.silentAt = e.now
-	d.silent++
-	if d.silent >= suspectUpstreams && (d.suspectSince == 0 || d.answered > 0) {
+	u.syn.missedAt = e.now
+	d.missedSYN++
+	if d.missedSYN >= suspectUpstreams && (d.suspectSince == 0 || d.answered > 0) {
 		d.suspectSince, d.answered, d.probes = e.now, 0, map[string]domainProbe{}
 		e.stats.Suspected++
 		e.emit(DomainChanged{Domain: d.name, Suspect: true, Upstreams: d.usable, Silent: e.now - d.lastResponse})
 	}
 }
 
-// noteAnswer records a response of u for its failure domain. u.lastResponse is still that of
+// noteDomainAnswer records a response of u for its failure domain. u.lastResponse is still that of
 // the response before.
-func (e *Engine) noteAnswer(u *upstream) {
+func (e *Engine) noteDomainAnswer(u *upstream) {
 	d := u.domain
 	if d.suspectSince > 0 && u.lastResponse <= d.suspectSince {
 		d.answered++
 		u.slowStartUntil = e.now + slowStartTime
 	}
-	d.lastResponse, d.silent = e.now, 0
+	d.lastResponse, d.missedSYN = e.now, 0
 	if d.suspectSince > 0 && d.recovered(e.now) {
 		e.emit(DomainChanged{Domain: d.name, Upstreams: d.answered, Silent: e.now - d.suspectSince})
 		d.suspectSince, d.probes = 0, nil
@@ -158,7 +116,7 @@
 	return u.domain.suspectSince > 0 && u.lastResponse <= u.domain.suspectSince
 }
 
-// allSuspect reports whether each failure domain of a service is suspect and silent. Then
+// allSuspect reports whether each failure domain of a service is suspect and none has answered since. Then
 // the fault may be at this VM.
 func (p *pool) allSuspect() bool {
 	for _, d := range p.domains {
--- a/internal/route/sparcookie/probe.go
+++ b/internal/route/sparcookie/domainprobe.go
@@ -82,7 +82,7 @@
 
 // probedBefore reports whether it is the turn of a before that of b, of the same domain.
 func (e *Engine) probedBefore(a, b *upstream) bool {
-	turnA, turnB := max(a.lastSYN, a.domain.suspectSince), max(b.lastSYN, b.domain.suspectSince)
+	turnA, turnB := max(a.syn.lastAt, a.domain.suspectSince), max(b.syn.lastAt, b.domain.suspectSince)
 	if turnA != turnB {
 		return turnA < turnB
 	}
--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -23,8 +23,6 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparrank"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
-	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
@@ -42,37 +40,40 @@
 type (
 	// Engine is the routing state of one VM. Create it with New.
 	Engine struct {
-		name      string
-		domain    string
-		now       time.Duration
-		fresh     bool
+		name   string
+		domain string // failure domain of this VM
+		now    time.Duration
+		fresh  bool // the roster is recent enough to refuse flows on its basis
+
+		// Derived from the roster, with what was observed.
 		roster    sparroster.Roster
 		routes    map[sparflow.Endpoint]*routeRecord
-		upstreams map[uint64]*upstream
+		upstreams map[uint64]*upstream // also those removed lately
 		cookies   map[Cookie]*upstream
-		pools     map[string]*pool // upstreams in the roster, by service
-		domainVMs int              // VMs of this failure domain, this one included
-		relays    []relay          // other VMs
+		pools     map[string]*pool         // upstreams in the roster, by service
+		services  map[string]*serviceState // with upstreams in the roster
 		domains   map[string]*domainState
+		domainVMs int     // VMs of this failure domain, this one included
+		relays    []relay // other VMs
+
+		flows     map[flowKey]*flow
+		maxFlows  int
+		lastSweep time.Duration // last deletion of expired records
+
 		openings  []opening     // SYNs whose response is not yet due, oldest first
 		checkedAt time.Duration // last check of openings
 		pausedAt  time.Duration // end of the last pause of this VM
 		distrust  bool          // set by assess, for one service: suspect failure domains are avoided, unless all are suspect
-		services  map[string]*serviceState
-		observed  []*upstream // with counts for the next Observations
-		pressed   bool
-		loadAt    time.Duration // last count of the requests under way
-		probeSeed int           // of this VM, in the ranking of upstreams to probe
-		marks     map[uint64]*upstream
-		suspects  []*upstream // for the next Suspects
-		flows     map[flowKey]*flow
-		maxFlows  int
-		lastSweep time.Duration
+
+		observing observing
+		asking    asking
+		probeSeed int      // of this VM, in the order of the upstreams of a suspect domain to probe
 		hedges    *hedging // nil if no openings are hedged
 		admission admission
-		events    []Event
-		stats     Stats
 		warm      warmLimits
+
+		events []Event
+		stats  Stats
 	}
 
 	// routeRecord is the route of an address, with the services that it named earlier.
@@ -90,55 +91,17 @@
 		all     []*upstream
 		domains []*domainState // with upstreams of the service, the one of this VM first
 	}
-
-	// upstream is a server with the observations of this VM.
-	upstream struct {
-		sparroster.Upstream
-		cookie          Cookie
-		removed         bool // no longer in the roster
-		unusable        bool // in the roster with an entry that can't be used
-		removedAt       time.Duration
-		evacuated       bool          // its failure domain is evacuated
-		warmUntil       time.Duration // end of the warm-up
-		flows           int           // open flows on record
-		recent          decayingCount // requests over recentSpan
-		rate            decayingCount // requests over rateSpan
-		abandoned       decayingCount // requests that clients gave up unanswered, over abandonedSpan
-		lastResponse    time.Duration // last sign that a client received a packet from it
-		aliveAt         time.Duration // last time at which it is known to have run
-		pendingSince    time.Duration // first SYN sent since lastResponse, 0 if there is none
-		unansweredFlows int           // flows with an unanswered retransmission since lastResponse
-		silentFlows     int           // retransmissions without a response since aliveAt
-		health          sparhealth.Health
-		lastSYN         time.Duration
-		races           lostRaces
-		avoidedAt       time.Duration // when an opening at it was last due for a hedge
-		quota           *warmQuota    // nil if its service has no warm rate
-		domain          *domainState
-		service         *serviceState
-		weight          float64             // by the evidence of several VMs, 0 if that ejects it
-		underWay        int                 // requests under way of flows on record
-		seen            sparevidence.Counts // since the last Observations
-		isObserved      bool                // it is in Engine.observed
-		progressed      bool                // a response went on since the last Observations
-		hanging         bool                // a request hangs since then, see noteHanging
-		answeredAt      time.Duration       // last request that was answered, or last progress of a response
-		ejectedAt       time.Duration       // when its weight became 0 last
-		silentAt        time.Duration       // when it was last found to leave a SYN unanswered
-		slowStartUntil  time.Duration       // end of the time after its return in which it gets less load
-		death           goneState
-	}
 )
 
 // New returns an engine for the VM called name in the failure domain. It keeps records
 // of at most maxFlows flows.
 func New(name, domain string, maxFlows int) *Engine {
 	return &Engine{
-		name: name, domain: domain, maxFlows: maxFlows, probeSeed: int(uint32(sparrank.Hash(name))),
+		name: name, domain: domain, maxFlows: maxFlows,
 		routes: map[sparflow.Endpoint]*routeRecord{}, upstreams: map[uint64]*upstream{},
 		cookies: map[Cookie]*upstream{}, pools: map[string]*pool{}, flows: map[flowKey]*flow{},
 		domains: map[string]*domainState{}, services: map[string]*serviceState{},
-		marks: map[uint64]*upstream{},
+		asking: asking{marks: map[uint64]*upstream{}}, probeSeed: int(uint32(sparrank.Hash(name))),
 	}
 }
 
@@ -182,14 +145,15 @@
 	}
 }
 
-// Tick runs the work that is due at the current time: it ends ejections, so that a SYN can
-// probe the upstream, and deletes expired records.
+// Tick runs the work that is due at the current time: it notes SYNs and requests that were not
+// answered in time, ends ejections, so that a SYN can probe the upstream, updates admission and the
+// limits of warm-ups, and deletes expired records.
 func (e *Engine) Tick() {
 	e.checkOpenings()
-	e.checkWaiting()
+	e.checkHanging()
 	for _, u := range e.upstreams {
 		if !u.removed && u.health.Tick(e.now, 0) {
-			u.pendingSince = 0 // only the SYN of the probe counts from here on
+			u.syn.unansweredSince = 0 // only the SYN of the probe counts from here on
 			e.emitHealth(u, true)
 		}
 	}
@@ -215,7 +179,7 @@
 	states := make([]UpstreamState, 0, len(e.roster.Upstreams))
 	for _, entry := range e.roster.Upstreams {
 		u := e.upstreams[entry.ID]
-		states = append(states, UpstreamState{Upstream: entry, Flows: u.flows, Healthy: u.health.AcceptsFlows()})
+		states = append(states, UpstreamState{Upstream: entry, Flows: u.load.flows, Healthy: u.health.AcceptsFlows()})
 	}
 	return states
 }
--- a/internal/route/sparcookie/evacuation.go
+++ b/internal/route/sparcookie/evacuation.go
@@ -5,7 +5,7 @@
 func (e *Engine) EvacuatedFlows(domain string) (flows int) {
 	for _, u := range e.upstreams {
 		if u.evacuated && u.Domain == domain {
-			flows += u.flows
+			flows += u.load.flows
 		}
 	}
 	return flows
--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -104,7 +104,7 @@
 		e.noteOverdue(f)
 		if f.upstream.lastResponse <= f.requestedAt {
 			e.noteUnanswered(f.upstream, f)
-			f.upstream.silentFlows++
+			f.upstream.copiesSinceAlive++
 			e.noteSuspect(f)
 		}
 	}
@@ -117,8 +117,8 @@
 		f.requestedAt = e.now
 		e.chargeRequest(f)
 		e.beginPending(f)
-		f.upstream.recent.add(e.now, recentSpan)
-		f.upstream.rate.add(e.now, rateSpan)
+		f.upstream.load.recent.add(e.now, recentSpan)
+		f.upstream.load.rate.add(e.now, rateSpan)
 		e.limiter(f.upstream.Service).Request(e.now)
 	}
 }
@@ -135,7 +135,7 @@
 	e.noteGivenUp(f)
 	f.requestedAt = 0
 	e.stats.Abandoned++
-	f.upstream.abandoned.add(e.now, abandonedSpan)
+	f.upstream.load.abandoned.add(e.now, abandonedSpan)
 	return waited, true
 }
 
@@ -143,9 +143,9 @@
 func (e *Engine) noteProgress(f *flow) {
 	f.lastProgress = e.now
 	u := f.upstream
-	e.noteAnswer(u)
-	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
-	u.death.until = 0
+	e.noteDomainAnswer(u)
+	u.lastResponse, u.syn.unansweredSince, u.unansweredFlows = e.now, 0, 0
+	u.death.goneUntil = 0
 	e.noteReturn(u, u.health.Answered(e.now))
 }
 
@@ -153,7 +153,7 @@
 // the request before arrived, and not when the response did: clients may send it much later.
 func (u *upstream) noteAlive(at time.Duration) {
 	if at > u.aliveAt {
-		u.aliveAt, u.silentFlows = at, 0
+		u.aliveAt, u.copiesSinceAlive = at, 0
 	}
 }
 
@@ -185,7 +185,7 @@
 		return
 	}
 	e.flows[key] = f
-	f.upstream.flows++
+	f.upstream.load.flows++
 }
 
 // close removes f from the load of its upstream. Its last packets are still forwarded.
@@ -193,7 +193,7 @@
 	if !f.closed {
 		e.endPending(f)
 		f.closed = true
-		f.upstream.flows--
+		f.upstream.load.flows--
 	}
 }
 
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -60,7 +60,7 @@
 		return e.refuseSYN(rec)
 	}
 	e.recordSYN(key, u, e.now)
-	return e.awaitAnswer(rec, key, s, e.send(Placed, u))
+	return e.queueOpening(rec, key, s, e.send(Placed, u))
 }
 
 // recordSYN records a SYN sent to u. began is the time of the first SYN of the flow.
@@ -69,8 +69,8 @@
 	f := &flow{upstream: u, began: began, placedAt: e.now, lastProgress: e.now, lastSeen: e.now}
 	e.record(key, f)
 	e.chargeOpening(f)
-	if u.pendingSince == 0 {
-		u.pendingSince = e.now
+	if u.syn.unansweredSince == 0 {
+		u.syn.unansweredSince = e.now
 	}
 }
 
@@ -136,7 +136,7 @@
 	if !rec.live {
 		return e.forwardUnrouted(key, u)
 	}
-	if e.resetsGone(u, f, s) {
+	if e.resetsData(u, f, s) {
 		e.forget(key)
 		e.stats.GoneResets++
 		return e.reset(UpstreamGone, u)
@@ -181,7 +181,7 @@
 // crashed reports whether the VMs of its own failure domain, this one among them, had ejected u when
 // its entry was removed, and it has answered none of the clients of this VM since.
 func (e *Engine) crashed(u *upstream) bool {
-	return u.weight == 0 && u.lastResponse < u.ejectedAt && u.Domain == e.domain
+	return u.evidence.weight == 0 && u.lastResponse < u.evidence.ejectedAt && u.Domain == e.domain
 }
 
 // mayServe reports whether u may have flows of the route. Before this VM first saw the
--- a/internal/route/sparcookie/hanging.go
+++ b/internal/route/sparcookie/hanging.go
@@ -3,55 +3,56 @@
 import "time"
 
 const (
-	// hangingFactor times the usual response time of its service, and leastHanging at least, is the age from
-	// which on a request hangs. It may be less than that at which it is overdue, since an answer to any
-	// client refutes it.
+	// hangingFactor times the usual response time of its service, and leastHanging at least, is the age at
+	// which a request hangs. It may be lower than the age at which a request is overdue, since hanging is no
+	// failure and an answer to any client refutes it.
 	hangingFactor = 5
 	leastHanging  = 200 * time.Millisecond
-	// maxWaiting bounds the requests of a service that wait for it: those of 2,500 a second.
-	maxWaiting = 512
+	// maxWatched bounds the requests of a service that are watched: those of 2,500 a second for leastHanging.
+	maxWatched = 512
 )
 
-// waitingRequest is a request that does not hang yet.
-type waitingRequest struct {
+// watchedRequest is a pending request that does not hang yet.
+type watchedRequest struct {
 	flow *flow
-	at   time.Duration
+	at   time.Duration // arrival
 }
 
-// awaitResponse records the request of f that arrives now, which has to be answered in time.
-func (e *Engine) awaitResponse(f *flow) {
-	if s := f.upstream.service; s.usual > 0 && len(s.waiting) < maxWaiting {
-		s.waiting = append(s.waiting, waitingRequest{flow: f, at: e.now})
+// watchResponse watches the request of f that arrives now, if the usual response time is known.
+func (e *Engine) watchResponse(f *flow) {
+	if s := f.upstream.service; s.usual > 0 && len(s.watched) < maxWatched {
+		s.watched = append(s.watched, watchedRequest{flow: f, at: e.now})
 	}
 }
 
-// checkWaiting notes the requests that hang by now.
-func (e *Engine) checkWaiting() {
+// checkHanging notes the watched requests that hang by now.
+func (e *Engine) checkHanging() {
 	for _, s := range e.services {
 		age, due := max(leastHanging, hangingFactor*s.usual), 0
-		for _, w := range s.waiting {
+		for _, w := range s.watched {
 			if e.now-w.at < age {
 				break
 			}
 			due++
 			e.noteHanging(w)
 		}
-		s.waiting = append(s.waiting[:0], s.waiting[due:]...)
+		s.watched = append(s.watched[:0], s.watched[due:]...)
 	}
 }
 
-// noteHanging notes an upstream at which a request hangs, if it has answered no request of this VM
-// since. This is no failure: the flow may have moved to another VM, which sees the response. If it has
-// shown no sign of life at all it is suspect, unless slots are short: its client may send no copy that
-// would tell of a crash, since the upstream had acknowledged the request.
-func (e *Engine) noteHanging(w waitingRequest) {
+// noteHanging notes an upstream at which a request hangs, if it has answered no request of this VM since the
+// request arrived. This is no failure: the flow may have moved to another VM, which sees the response.
+//
+// The upstream is suspect if it has shown no sign of life at all since then: it may have acknowledged the
+// request and crashed, and then the client sends no copy. Under load it is not, as its queue may be long.
+func (e *Engine) noteHanging(w watchedRequest) {
 	f, u := w.flow, w.flow.upstream
-	if f.requestedAt != w.at || f.closed || u.answeredAt >= w.at || e.JustPaused() {
+	if f.requestedAt != w.at || f.closed || u.evidence.answeredAt >= w.at || e.JustPaused() {
 		return
 	}
 	e.seenOf(u)
-	u.hanging = true
-	if u.lastResponse <= w.at && !e.pressed {
+	u.evidence.hanging = true
+	if u.lastResponse <= w.at && !e.observing.pressed {
 		e.noteSuspect(f)
 	}
 }
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -13,7 +13,7 @@
 const maxHedgeWait = minRetransmitAge
 
 // HedgeSlots is the number of openings that may wait for an answer or a hedge. Beyond it
-// openings are not hedged: at 20 ms each that is more than a VM can forward.
+// openings are not hedged. It suffices for 3,400 openings a second that all wait for the longest delay.
 const HedgeSlots = 512
 
 // Reasons to hedge no opening.
@@ -55,9 +55,9 @@
 
 	// hedgeState is the part of a flow record that is about SYNs which went to several upstreams.
 	hedgeState struct {
-		awaiting bool      // in the queue
-		settled  bool      // the first packet after the SYN has shown the upstream
-		rival    *upstream // that the SYN went to as well; once the flow is open, the one that lost
+		queued  bool      // in hedging.queue
+		settled bool      // the first packet after the SYN has shown the upstream
+		rival   *upstream // that the SYN went to as well; once the flow is open, the one that lost
 	}
 )
 
@@ -89,8 +89,8 @@
 	}
 }
 
-// awaitAnswer queues an opening that may have to be hedged, and names its slot in the verdict.
-func (e *Engine) awaitAnswer(rec *routeRecord, key flowKey, s Segment, v Verdict) Verdict {
+// queueOpening queues an opening that may have to be hedged, and names its slot in the verdict.
+func (e *Engine) queueOpening(rec *routeRecord, key flowKey, s Segment, v Verdict) Verdict {
 	if e.hedges == nil {
 		return v
 	}
@@ -105,7 +105,7 @@
 		h.stats.Denied[HedgeFull]++
 		return v
 	}
-	f.hedge.awaiting = true
+	f.hedge.queued = true
 	v.Awaits = slot + 1
 	return v
 }
@@ -152,14 +152,14 @@
 // upstream of one that is to be hedged as avoided.
 func (e *Engine) unansweredOpening(item sparhedge.Item[flowKey]) *flow {
 	f := e.flows[item.Key]
-	if f == nil || !f.hedge.awaiting || f.began != item.Began {
+	if f == nil || !f.hedge.queued || f.began != item.Began {
 		return nil
 	}
-	f.hedge.awaiting = false
+	f.hedge.queued = false
 	if f.opened || f.closed || e.now-f.began >= maxHedgeWait {
 		return nil
 	}
-	f.upstream.avoidedAt = e.now
+	f.upstream.syn.avoidedAt = e.now
 	return f
 }
 
--- a/internal/route/sparcookie/second.go
+++ b/internal/route/sparcookie/hedgesecond.go
@@ -5,14 +5,14 @@
 const hedgeUtilization = 0.6
 
 // secondUpstream returns the best upstream for the hedge of an opening at first, or nil if none is
-// fit. It is in another failure domain if that of first is suspect or full.
+// fit. It is in another failure domain if that of first is failing or full.
 func (e *Engine) secondUpstream(p *pool, key flowKey, first *upstream) (best *upstream) {
 	e.assess(p)
 	full := e.domainFull(p.local, e.serviceTime(first.Service))
-	suspect := e.domainFailing(p, first.Domain)
+	failing := e.domainFailing(p, first.Domain)
 	bestTier, bestScore := tierNone, 0.0
 	for _, u := range p.all {
-		if u == first || !e.fitForHedge(u) || suspect && u.Domain == first.Domain || full && u.Domain == e.domain {
+		if u == first || !e.fitForHedge(u) || failing && u.Domain == first.Domain || full && u.Domain == e.domain {
 			continue
 		}
 		t, score := e.tierOf(u), e.score(u, key)
@@ -26,15 +26,15 @@
 // fitForHedge reports whether an opening may go to u as well: u is healthy, has no SYN without an
 // answer for long, does not warm up and has free slots.
 func (e *Engine) fitForHedge(u *upstream) bool {
-	e.ejectOverdue(u)
+	e.ejectMissedSYN(u)
 	return e.tierOf(u) < tierUnhealthy && !u.health.Probing() && e.now >= u.warmUntil && !e.nearlyFull(u)
 }
 
 // nearlyFull reports whether u may be short of slots. It assumes that the other VMs of this failure
 // domain forward as many requests to u as this one.
 func (e *Engine) nearlyFull(u *upstream) bool {
-	busy := busySlots(u.rate.value(e.now, rateSpan), e.serviceTime(u.Service), e.domainVMs)
-	return busy >= hedgeUtilization*float64(u.Slots) || u.abandoned.value(e.now, abandonedSpan) >= 1
+	busy := busySlots(u.load.rate.value(e.now, rateSpan), e.serviceTime(u.Service), e.domainVMs)
+	return busy >= hedgeUtilization*float64(u.Slots) || u.load.abandoned.value(e.now, abandonedSpan) >= 1
 }
 
 // shortOfSlots reports whether the upstreams of a service are nearly full. It assumes that all other
@@ -47,7 +47,7 @@
 	requests, slots := 0.0, 0
 	for _, u := range p.all {
 		if e.takesFlows(u) && u.health.AcceptsFlows() {
-			requests += u.rate.value(e.now, rateSpan)
+			requests += u.load.rate.value(e.now, rateSpan)
 			slots += u.Slots
 		}
 	}
@@ -56,17 +56,18 @@
 }
 
 // domainFailing reports whether at least two upstreams of a failure domain, and half of those that
-// take flows, are ejected or have lost a race since their last response.
+// take flows, are ejected or have lost a race since their last response. A domain fails in this sense
+// before it is suspect.
 func (e *Engine) domainFailing(p *pool, domain string) bool {
-	suspects, all := 0, 0
+	failing, all := 0, 0
 	for _, u := range p.all {
 		if u.Domain != domain || !e.takesFlows(u) {
 			continue
 		}
 		all++
 		if !u.health.AcceptsFlows() || u.races.at > u.lastResponse {
-			suspects++
+			failing++
 		}
 	}
-	return suspects >= 2 && 2*suspects >= all
+	return failing >= 2 && 2*failing >= all
 }
--- a/internal/route/sparcookie/observe.go
+++ b/internal/route/sparcookie/observe.go
@@ -16,9 +16,6 @@
 	// leastOverdue is the least age at which a request is overdue: an upstream with a full queue
 	// answers sooner.
 	leastOverdue = 400 * time.Millisecond
-	// catchUpTime is how long this VM needs after its start or a pause to handle what has waited:
-	// responses, and SYNs whose clients may have given up.
-	catchUpTime = 300 * time.Millisecond
 	// loadInterval is the time between two counts of the requests under way.
 	loadInterval = time.Second
 	// pressedShare is the part of the slots of a service at work from which on the load is worth
@@ -26,15 +23,24 @@
 	pressedShare = 0.5
 )
 
-// serviceState is what this VM sees of a service.
-type serviceState struct {
-	usual   time.Duration    // response time, as told by SetUsual
-	waited  time.Duration    // by the requests answered since the last Observations
-	refused int              // openings refused since then
-	busy    time.Duration    // waited by the requests answered since the last count of the load
-	load    map[string]int   // requests under way, by failure domain, at the last count
-	waiting []waitingRequest // oldest first
-}
+type (
+	// observing is what this VM observes for other VMs.
+	observing struct {
+		upstreams []*upstream   // with counts for the next Observations
+		loadAt    time.Duration // last count of the requests under way
+		pressed   bool          // see Pressed
+	}
+
+	// serviceState is what this VM sees of a service.
+	serviceState struct {
+		usual   time.Duration    // response time, as told by SetUsual
+		waited  time.Duration    // by the requests answered since the last Observations
+		refused int              // openings refused since then
+		busy    time.Duration    // waited by the requests answered since the last count of the load
+		load    map[string]int   // requests under way, by failure domain, at the last count
+		watched []watchedRequest // not hanging yet, oldest first
+	}
+)
 
 // SetWeight sets the weight of an upstream for new flows by the evidence of several VMs, between
 // 0 for an ejected one and 1.
@@ -43,10 +49,10 @@
 	if u == nil {
 		return
 	}
-	if weight <= 0 && u.weight > 0 {
-		u.ejectedAt = e.now
+	if weight <= 0 && u.evidence.weight > 0 {
+		u.evidence.ejectedAt = e.now
 	}
-	u.weight = min(1, max(0, weight))
+	u.evidence.weight = min(1, max(0, weight))
 }
 
 // SetUsual sets the usual response time of a service, 0 if it is not known.
@@ -75,11 +81,11 @@
 
 // Observations returns what this VM has seen of upstreams and services since the last call.
 func (e *Engine) Observations() (o sparevidence.Observations) {
-	for _, u := range e.observed {
-		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.seen, Progressed: u.progressed, Hanging: u.hanging})
-		u.seen, u.isObserved, u.progressed, u.hanging = sparevidence.Counts{}, false, false, false
+	for _, u := range e.observing.upstreams {
+		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.evidence.seen, Progressed: u.evidence.progressed, Hanging: u.evidence.hanging})
+		u.evidence.seen, u.evidence.isObserved, u.evidence.progressed, u.evidence.hanging = sparevidence.Counts{}, false, false, false
 	}
-	e.observed = e.observed[:0]
+	e.observing.upstreams = e.observing.upstreams[:0]
 	counted := e.countLoad()
 	for name, s := range e.services {
 		if s.waited == 0 && s.refused == 0 && !counted {
@@ -93,23 +99,23 @@
 
 // countLoad counts the requests under way, if that is due.
 func (e *Engine) countLoad() (counted bool) {
-	elapsed := e.now - e.loadAt
+	elapsed := e.now - e.observing.loadAt
 	if elapsed < loadInterval {
 		return false
 	}
-	e.loadAt, e.pressed = e.now, false
+	e.observing.loadAt, e.observing.pressed = e.now, false
 	for name, p := range e.pools {
 		s := e.serviceOf(name)
 		s.load = map[string]int{}
 		slots := 0
 		for _, u := range p.all {
 			slots += u.Slots
-			if u.underWay > 0 {
-				s.load[u.Domain] += u.underWay
+			if u.load.underWay > 0 {
+				s.load[u.Domain] += u.load.underWay
 			}
 		}
 		underWay := float64(s.busy) / float64(elapsed) * float64(len(e.relays)+1)
-		e.pressed = e.pressed || s.refused > 0 || underWay >= pressedShare*float64(slots)
+		e.observing.pressed = e.observing.pressed || s.refused > 0 || underWay >= pressedShare*float64(slots)
 		s.busy = 0
 	}
 	return true
@@ -117,31 +123,28 @@
 
 // Pressed reports whether half of a service's slots or more were at work between the last two counts,
 // if the other VMs had as many requests under way as this one, or openings were refused.
-func (e *Engine) Pressed() bool { return e.pressed }
+func (e *Engine) Pressed() bool { return e.observing.pressed }
 
 // seenOf returns the counts of u to add to.
 func (e *Engine) seenOf(u *upstream) *sparevidence.Counts {
-	if !u.isObserved {
-		u.isObserved = true
-		e.observed = append(e.observed, u)
+	if !u.evidence.isObserved {
+		u.evidence.isObserved = true
+		e.observing.upstreams = append(e.observing.upstreams, u)
 	}
-	return &u.seen
+	return &u.evidence.seen
 }
 
 // noteOpened counts an opening that was answered.
 func (e *Engine) noteOpened(u *upstream) { e.seenOf(u).Opened++ }
 
-// noteUnopened counts a SYN without an answer in time.
-func (e *Engine) noteUnopened(u *upstream) { e.seenOf(u).Unanswered++ }
-
 // noteResponse counts the response to the pending request of f. If there is none, a response that
 // has counted goes on.
 func (e *Engine) noteResponse(f *flow) {
 	u := f.upstream
-	u.answeredAt, u.hanging = e.now, false
+	u.evidence.answeredAt, u.evidence.hanging = e.now, false
 	if f.requestedAt == 0 {
 		e.seenOf(u)
-		u.progressed = true
+		u.evidence.progressed = true
 		return
 	}
 	e.endPending(f)
@@ -195,14 +198,14 @@
 func (e *Engine) beginPending(f *flow) {
 	f.overdue = false
 	if !f.closed {
-		f.upstream.underWay++
-		e.awaitResponse(f)
+		f.upstream.load.underWay++
+		e.watchResponse(f)
 	}
 }
 
 // endPending ends the pending request of f, if it counts as under way.
 func (e *Engine) endPending(f *flow) {
 	if f.requestedAt > 0 && !f.closed {
-		f.upstream.underWay--
+		f.upstream.load.underWay--
 	}
 }
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -112,7 +112,7 @@
 	var bestTurn time.Duration
 	bestTier = tierNone
 	for _, u := range upstreams {
-		e.ejectOverdue(u)
+		e.ejectMissedSYN(u)
 		t := e.tierOf(u)
 		if u == exclude || t == tierNone {
 			continue
@@ -122,7 +122,7 @@
 		}
 		score, turn := e.score(u, key), time.Duration(0)
 		if t == tierUnhealthy {
-			turn = u.lastSYN // their load says little
+			turn = u.syn.lastAt // their load says little
 		}
 		if t < bestTier || t == bestTier && (turn < bestTurn || turn == bestTurn && score < bestScore) {
 			best, bestScore, bestTurn, bestTier = u, score, turn, t
@@ -131,14 +131,6 @@
 	return best, bestTier
 }
 
-// ejectOverdue ejects an upstream whose response to a SYN is overdue. A response on any
-// flow ends the ejection.
-func (e *Engine) ejectOverdue(u *upstream) {
-	if u.pendingSince > 0 && e.now-u.pendingSince >= synAckTimeout && u.health.AcceptsFlows() && e.now-u.lastSYN >= synAckTimeout {
-		e.emitHealth(u, u.health.Ejected(e.now))
-	}
-}
-
 // takesFlows reports whether the settings let u take new flows.
 func (e *Engine) takesFlows(u *upstream) bool {
 	return !u.Draining && !u.removed && !u.unusable && !u.evacuated
@@ -149,9 +141,9 @@
 	switch {
 	case !e.takesFlows(u), e.outOfQuota(u), e.gone(u):
 		return tierNone
-	case !u.health.AcceptsFlows(), e.leftToHolders(u), e.avoided(u), u.health.Probing() && e.now-u.lastSYN < probeInterval:
+	case !u.health.AcceptsFlows(), e.leftToHolders(u), e.avoided(u), u.health.Probing() && e.now-u.syn.lastAt < probeInterval:
 		return tierUnhealthy
-	case e.distrust && u.unproven(), u.weight == 0:
+	case e.distrust && u.unproven(), u.evidence.weight == 0:
 		return tierUnhealthy
 	case u.Domain == e.domain && (u.domain.preferable() || !e.distrust):
 		return tierLocal
@@ -166,8 +158,8 @@
 	requests, slots := 0.0, 0.0
 	for _, u := range local {
 		if e.tierOf(u) == tierLocal {
-			requests += u.rate.value(e.now, rateSpan)
-			slots += float64(u.Slots) * u.weight
+			requests += u.load.rate.value(e.now, rateSpan)
+			slots += float64(u.Slots) * u.evidence.weight
 		}
 	}
 	return busySlots(requests, serviceTime, e.domainVMs) >= spillThreshold*slots
@@ -182,9 +174,9 @@
 // score returns the load of u per slot. A fraction below 1 that depends on the flow breaks
 // ties, so that VMs spread their flows over equally loaded upstreams.
 func (e *Engine) score(u *upstream, key flowKey) float64 {
-	load := float64(u.flows) + 2*u.recent.value(e.now, recentSpan) + abandonedWeight*u.abandoned.value(e.now, abandonedSpan)
+	load := float64(u.load.flows) + 2*u.load.recent.value(e.now, recentSpan) + abandonedWeight*u.load.abandoned.value(e.now, abandonedSpan)
 	load += float64(sparrank.Weight(int(uint32(key.client)), u.ID)>>40) / (1 << 24)
-	capacity := float64(u.Slots) * max(u.weight, sparevidence.Trickle)
+	capacity := float64(u.Slots) * max(u.evidence.weight, sparevidence.Trickle)
 	if e.now < u.warmUntil {
 		capacity *= e.warmingCapacity(u)
 	}
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -4,11 +4,11 @@
 
 const (
 	// racesToEject is the number of openings in a row that an upstream must lose to the second
-	// one, without a response to any client meanwhile, to count as silent. One lost race shows
+	// one, without a response to any client meanwhile, to be ejected. One lost race shows
 	// nothing, since the client drops the SYN-ACK that comes second.
 	racesToEject = 2
 	// avoidTime is how long an upstream is passed over after an opening there was due for a hedge,
-	// unless it answers any client: about the pauses of a server that runs.
+	// unless it answers any client: longer than a short pause of a server that runs.
 	avoidTime = 300 * time.Millisecond
 )
 
@@ -22,10 +22,10 @@
 // sent yet. If one was sent, neither upstream has answered: then the second one has a SYN without
 // an answer, too.
 func (e *Engine) noteCopy(f *flow) {
-	f.hedge.awaiting = false
+	f.hedge.queued = false
 	second := f.hedge.rival
-	if second != nil && second.lastSYN > second.lastResponse && second.pendingSince == 0 {
-		second.pendingSince = second.lastSYN
+	if second != nil && second.syn.lastAt > second.lastResponse && second.syn.unansweredSince == 0 {
+		second.syn.unansweredSince = second.syn.lastAt
 	}
 }
 
@@ -62,8 +62,8 @@
 	}
 	f.upstream = u
 	if !f.closed {
-		first.flows--
-		u.flows++
+		first.load.flows--
+		u.load.flows++
 	}
 }
 
@@ -81,8 +81,8 @@
 	}
 	u.races.count++
 	u.races.at = e.now
-	if u.pendingSince == sent {
-		u.pendingSince = 0
+	if u.syn.unansweredSince == sent {
+		u.syn.unansweredSince = 0
 	}
 	if u.races.count >= racesToEject || u.health.Probing() {
 		u.races.count = 0
@@ -93,5 +93,5 @@
 // avoided reports whether new flows pass over u, since an opening there took longer than usual and
 // u has answered no client meanwhile. This is no failure of u, whose health stays.
 func (e *Engine) avoided(u *upstream) bool {
-	return u.avoidedAt > u.lastResponse && e.now-u.avoidedAt < avoidTime
+	return u.syn.avoidedAt > u.lastResponse && e.now-u.syn.avoidedAt < avoidTime
 }
--- a/internal/route/sparcookie/relay.go
+++ b/internal/route/sparcookie/relay.go
@@ -59,14 +59,14 @@
 // unresponsive reports whether u is probably unreachable from this VM: it has not answered
 // a SYN, which load does not delay, and several flows have unanswered retransmissions.
 func (e *Engine) unresponsive(u *upstream) bool {
-	return u.unansweredFlows >= unresponsiveFlows && u.pendingSince > 0 && e.now-u.pendingSince >= minRetransmitAge
+	return u.unansweredFlows >= unresponsiveFlows && u.syn.unansweredSince > 0 && e.now-u.syn.unansweredSince >= minRetransmitAge
 }
 
 // probablyDead reports whether u is no longer in the roster, has left a request without a response and
 // shown no sign of life here for longer than a slow upstream takes to answer. Then the first packet of a request goes through other VMs
 // too, so that relaysBeforeReset of them have sent it before its first retransmission.
 func (e *Engine) probablyDead(u *upstream) bool {
-	return u.removed && !u.Draining && u.silentFlows > 0 && e.now-u.aliveAt >= deadSilence
+	return u.removed && !u.Draining && u.copiesSinceAlive > 0 && e.now-u.aliveAt >= deadSilence
 }
 
 // pickSecondRelay returns another VM than first through which the packet is also sent, or 0.
--- a/internal/route/sparcookie/waiting.go
+++ b/internal/route/sparcookie/resetpending.go
@@ -6,9 +6,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 )
 
-// maxWaited is the age of a request from which on its client has given it up or a later retransmission
-// has gone through another VM.
-const maxWaited = 5 * time.Second
+// maxPendingAge is the age of a pending request up to which its flow is reset without a packet of its client. With
+// an older one the client has given up, or goes on through another VM.
+const maxPendingAge = 5 * time.Second
 
 // Ended is a flow that is reset without a packet of its client.
 type Ended struct {
@@ -16,15 +16,15 @@
 	Verdict
 }
 
-// EndWaiting ends the flows of an upstream that is gone whose clients wait for a response. A reset has to
-// be sent for each of them.
-func (e *Engine) EndWaiting(o sparprobe.Outcome) (list []Ended) {
-	u := e.marks[o.Mark()]
+// ResetPending ends the flows with a pending request at an upstream that is gone. The caller sends a reset
+// for each of them.
+func (e *Engine) ResetPending(o sparprobe.Outcome) (list []Ended) {
+	u := e.asking.marks[o.Mark()]
 	if u == nil || !e.gone(u) {
 		return nil
 	}
 	for key, f := range e.flows {
-		if f.upstream != u || !f.opened || f.closed || f.requestedAt == 0 || e.now-f.requestedAt >= maxWaited {
+		if f.upstream != u || !f.opened || f.closed || f.requestedAt == 0 || e.now-f.requestedAt >= maxPendingAge {
 			continue
 		}
 		v := e.reset(UpstreamGone, u)
--- a/internal/route/sparcookie/waiting_test.go
+++ b/internal/route/sparcookie/resetpending_test.go
@@ -8,9 +8,9 @@
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
 )
 
-// TestWaitingFlowsEnd covers requests that a crashed upstream had acknowledged: their clients send no copies,
+// TestPendingFlowsEnd covers requests that a crashed upstream had acknowledged: their clients send no copies,
 // so the flows end without a packet of theirs. Others at the upstream end at their next packet.
-func TestWaitingFlowsEnd(t *testing.T) {
+func TestPendingFlowsEnd(t *testing.T) {
 	f := newFixture(t)
 	waiting, idle := f.flowAt(1), f.flowAt(1)
 	idle.ackResponse()
@@ -18,7 +18,7 @@
 	f.wait(retransmitAfter)
 	f.setGone(1)
 	o := sparprobe.Outcome{Upstream: sparprobe.Upstream{ID: 1, Born: 1}}
-	ended := f.engine.EndWaiting(o)
+	ended := f.engine.ResetPending(o)
 	if len(ended) != 1 {
 		t.Fatalf("%d flows ended, want 1", len(ended))
 	}
@@ -26,13 +26,13 @@
 	if s := ended[0].Segment; s.From != waiting.s.From || s.To != waiting.s.To || s.Ack != waiting.s.Ack {
 		t.Errorf("%+v, want %+v", s, waiting.s)
 	}
-	if again := f.engine.EndWaiting(o); len(again) > 0 {
+	if again := f.engine.ResetPending(o); len(again) > 0 {
 		t.Errorf("%+v again", again)
 	}
 }
 
-// TestWaitingFlowsStay covers flows that are not ended without a packet of their clients.
-func TestWaitingFlowsStay(t *testing.T) {
+// TestPendingFlowsStay covers flows that are not ended without a packet of their clients.
+func TestPendingFlowsStay(t *testing.T) {
 	tests := map[string]func(f *fixture){
 		"it is not gone":         func(*fixture) {},
 		"the verdict has ended":  func(f *fixture) { f.setGone(1); f.wait(2 * time.Second) },
@@ -43,7 +43,7 @@
 			f := newFixture(t)
 			f.flowAt(1)
 			run(f)
-			if ended := f.engine.EndWaiting(sparprobe.Outcome{Upstream: sparprobe.Upstream{ID: 1, Born: 1}}); len(ended) > 0 {
+			if ended := f.engine.ResetPending(sparprobe.Outcome{Upstream: sparprobe.Upstream{ID: 1, Born: 1}}); len(ended) > 0 {
 				t.Errorf("%+v", ended)
 			}
 		})
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -1,6 +1,72 @@
 package sparcookie
 
-import "github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+import (
+	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/route/sparevidence"
+	"github.com/oleanderspar/oleanderspar/internal/route/sparhealth"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+)
+
+type (
+	// upstream is a server with the observations of this VM.
+	upstream struct {
+		sparroster.Upstream
+		cookie  Cookie
+		domain  *domainState
+		service *serviceState
+
+		removed   bool // no longer in the roster
+		removedAt time.Duration
+		unusable  bool // in the roster with an entry that can't be used
+		evacuated bool // its failure domain is evacuated
+
+		lastResponse     time.Duration // last packet by which a client showed that it received one of this upstream
+		aliveAt          time.Duration // last time at which it is known to have run, see noteAlive
+		unansweredFlows  int           // flows with an unanswered retransmission since lastResponse
+		copiesSinceAlive int           // retransmissions without a response since aliveAt
+		health           sparhealth.Health
+
+		syn      synState
+		races    lostRaces
+		load     loadState
+		evidence evidenceState
+		death    deathState
+
+		warmUntil      time.Duration // end of the warm-up
+		slowStartUntil time.Duration // end of the time after its return in which it gets less load
+		quota          *warmQuota    // nil if its service has no warm rate
+	}
+
+	// synState is what an upstream did with the SYNs sent to it.
+	synState struct {
+		lastAt          time.Duration // last SYN sent
+		unansweredSince time.Duration // first SYN sent since lastResponse, 0 if there is none
+		missedAt        time.Duration // when it was last found to leave a SYN unanswered
+		avoidedAt       time.Duration // when an opening at it was last due for a hedge
+	}
+
+	// loadState is the load of an upstream by this VM.
+	loadState struct {
+		flows     int           // open flows on record
+		underWay  int           // requests under way of flows on record
+		recent    decayingCount // requests over recentSpan
+		rate      decayingCount // requests over rateSpan
+		abandoned decayingCount // requests that clients gave up unanswered, over abandonedSpan
+	}
+
+	// evidenceState is what this VM tells others of an upstream, and what follows from the evidence
+	// of all.
+	evidenceState struct {
+		seen       sparevidence.Counts // since the last Observations
+		isObserved bool                // it is in observing.upstreams
+		progressed bool                // a response went on since the last Observations
+		hanging    bool                // a request hangs, see noteHanging; cleared by a response and by Observations
+		answeredAt time.Duration       // last request that was answered, or last progress of a response
+		weight     float64             // for new flows, 0 for an ejected one
+		ejectedAt  time.Duration       // when weight became 0 last
+	}
+)
 
 func (e *Engine) applyUpstreams(r sparroster.Roster) {
 	inRoster := map[uint64]bool{}
@@ -15,10 +81,10 @@
 			e.emit(UpstreamUpdated{Upstream: entry})
 		}
 		if u.Upstream != entry || u.removed || u.unusable {
-			u.death.changedAt, u.death.until = e.now, 0
+			u.death.changedAt, u.death.goneUntil = e.now, 0
 		}
 		if u.removed || u.unusable {
-			u.weight = 1 // the evidence ended with its entry
+			u.evidence.weight = 1 // the evidence ended with its entry
 		}
 		u.Upstream, u.removed, u.unusable = entry, false, false
 		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
@@ -75,7 +141,7 @@
 // addUpstream adds an upstream that is new or has restarted. The records of flows from
 // before a restart are deleted.
 func (e *Engine) addUpstream(prev *upstream, entry sparroster.Upstream) *upstream {
-	u := &upstream{Upstream: entry, weight: 1}
+	u := &upstream{Upstream: entry, evidence: evidenceState{weight: 1}}
 	if prev != nil {
 		u.cookie = prev.cookie
 		u.quota = prev.quota // its openings of the last second still count
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -38,12 +38,12 @@
 	NoUpstream                 // no upstream takes new flows
 	UnknownCookie              // the cookie belongs to no upstream known to this VM
 	WrongService               // the cookie belongs to an upstream of a service that the route never named
-	UpstreamGone               // the upstream was removed and does not respond
+	UpstreamGone               // the upstream is gone or replaced, or was removed and does not respond
 	Assisted                   // a packet of an open flow, also sent through another VM
 	Relayed                    // a packet received from another VM
 	NotFresh                   // the settings are too old to refuse a flow
 	Hedged                     // a SYN without an answer, also sent to a second upstream
-	WarmLimit                  // all that is left are upstreams that warm up and get no opening more
+	WarmLimit                  // only upstreams whose openings are limited are left, and this VM may send them none now
 	Overloaded                 // the service is overloaded; less urgent flows are refused first
 	causeCount
 )
@@ -134,7 +134,7 @@
 		Abandoned uint64 // requests that clients gave up unanswered
 		Suspected uint64 // times that a failure domain was suspect as a whole
 
-		GoneResets uint64 // packets answered with a reset since their upstream is gone
+		GoneResets uint64 // flows reset since their upstream is gone or replaced, other than by mayReset
 
 		WarmOpenings uint64 // sent to upstreams whose openings are limited
 		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
--- a/internal/vm/sparentry/probe.go
+++ b/internal/vm/sparentry/probe.go
@@ -99,7 +99,7 @@
 // endWaiting resets the flows at an upstream that is gone whose clients wait.
 func (vm *VM) endWaiting(o sparprobe.Outcome) {
 	var b [platform.HeaderBytes]byte
-	for _, ended := range vm.engine.EndWaiting(o) {
+	for _, ended := range vm.engine.ResetPending(o) {
 		vm.send(platform.Reset(b[:], ended.Segment), sparflow.MakeEndpoint(ended.From.IP(), vm.port))
 		vm.logVerdict(ended.Segment, ended.Verdict)
 	}
