sparcookie: packet path in functions with one job each

Cause: forwardInFlow (51 lines) and observe (46) did several jobs, applyUpstreams put entries in force beside its own job, pickRelay held three conditions and was called twice to find a second VM, leftToHolders two questions in one expression.

No behaviour changes, no test changed.

--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -1,24 +1,11 @@
 package sparcookie
 
 import (
-	"math"
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 )
 
-const (
-	// recentSpan is the decay time of the count of recent requests to an upstream: a few
-	// times the service time of a request.
-	recentSpan = 60 * time.Millisecond
-	// rateSpan is the decay time of the request rate of an upstream. It is long enough
-	// to average out random variation, and short compared with a burst of seconds.
-	rateSpan = 500 * time.Millisecond
-	// abandonedSpan is the decay time of the count of abandoned requests of an upstream:
-	// several client timeouts, so that the next requests of the clients go elsewhere.
-	abandonedSpan = 5 * time.Second
-)
-
 type (
 	// flowKey identifies a flow.
 	flowKey struct {
@@ -43,19 +30,6 @@
 		closed       bool
 		hedge        hedgeState
 	}
-
-	// observation is what one packet of a client shows.
-	observation struct {
-		answered, first, retransmitted, abandoned bool
-		requested                                 bool // it is the first packet of a request
-		waited                                    time.Duration
-	}
-
-	// decayingCount is a count of requests with exponential decay over a span.
-	decayingCount struct {
-		count float64
-		at    time.Duration
-	}
 )
 
 func keyOf(s Segment) flowKey { return flowKey{client: s.From, service: s.To} }
@@ -63,54 +37,6 @@
 // seqAfter reports whether sequence number a follows b.
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
-// observe updates the flow and its upstream from one packet.
-func (e *Engine) observe(f *flow, s Segment) (obs observation) {
-	f.lastSeen = e.now
-	if !f.opened {
-		f.opened = true
-		f.ack, f.nextSeq = s.Ack, s.Seq
-		obs = observation{answered: true, first: true, waited: e.now - f.began}
-		e.recordOpeningTime(obs.waited)
-		e.noteOpened(f.upstream)
-		e.noteProgress(f)
-		f.upstream.noteAlive(f.began)
-	}
-	if seqAfter(s.Ack, f.ack) {
-		f.ack = s.Ack
-		obs.answered = obs.answered || f.requestedAt > 0
-		if f.requestedAt > 0 {
-			obs.waited = e.now - f.requestedAt
-		}
-		e.noteResponse(f)
-		if s.Size > 0 {
-			f.upstream.noteAlive(f.requestedAt)
-		} else {
-			f.upstream.noteAlive(e.now)
-		}
-		f.requestedAt = 0
-		e.noteProgress(f)
-	}
-	if s.Size == 0 {
-		return obs
-	}
-	if end := s.Seq + uint32(s.Size); seqAfter(end, f.nextSeq) {
-		f.nextSeq = end
-		obs.requested = f.requestedAt == 0
-		e.noteRequest(f)
-		return obs
-	}
-	if waited := e.now - max(f.requestedAt, f.lastProgress); waited >= minRetransmitAge {
-		obs.retransmitted, obs.waited = true, waited
-		e.noteOverdue(f)
-		if f.upstream.lastResponse <= f.requestedAt {
-			e.noteUnanswered(f.upstream, f)
-			f.upstream.copiesSinceAlive++
-			e.noteSuspect(f)
-		}
-	}
-	return obs // before minRetransmitAge it is a reordered packet
-}
-
 // noteRequest records a request, unless one is already pending.
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
@@ -220,12 +146,3 @@
 		}
 	}
 }
-
-func (r *decayingCount) add(now, span time.Duration) {
-	r.count = r.value(now, span) + 1
-	r.at = now
-}
-
-func (r *decayingCount) value(now, span time.Duration) float64 {
-	return r.count * math.Exp(-float64(now-r.at)/float64(span))
-}
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 )
 
 const (
@@ -129,50 +127,55 @@
 	}
 	u = e.settleRace(f, u, s)
 	if f == nil || f.upstream != u {
-		e.forget(key)
-		f = &flow{upstream: u, opened: true, began: e.now, lastProgress: e.now, lastSeen: e.now, ack: s.Ack, nextSeq: s.Seq}
-		e.record(key, f)
+		f = e.adoptFlow(key, u, s)
 	}
 	if !rec.live {
 		return e.forwardUnrouted(key, u)
 	}
-	if e.resetsData(u, f, s) {
+	if e.resetsData(u, f, &s) {
 		e.forget(key)
 		e.stats.GoneResets++
 		return e.reset(UpstreamGone, u)
 	}
-	obs := e.observe(f, s)
+	obs := e.observe(f, &s)
 	e.noteWaited(rec, f, s, obs)
 	if s.Kind == FIN || s.Kind == RST {
-		if waited, abandoned := e.noteAbandoned(f); abandoned {
-			obs.abandoned, obs.waited = true, waited
-		}
-		e.close(f)
+		e.observeEnd(f, &obs)
 	}
 	if obs.retransmitted && e.mayReset(u, f) {
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
-	cause, via, second := Carried, e.pickRelay(f, s, obs), sparflow.Endpoint(0)
+	return e.sendInFlow(f, &s, &obs)
+}
+
+// adoptFlow replaces the record of an open flow whose packet s shows that it is at u.
+func (e *Engine) adoptFlow(key flowKey, u *upstream, s Segment) *flow {
+	e.forget(key)
+	f := &flow{upstream: u, opened: true, began: e.now, lastProgress: e.now, lastSeen: e.now, ack: s.Ack, nextSeq: s.Seq}
+	e.record(key, f)
+	return f
+}
+
+// sendInFlow sends a packet of f to its upstream, also through other VMs if that may be needed.
+func (e *Engine) sendInFlow(f *flow, s *Segment, obs *observation) Verdict {
+	cause := Carried
+	via, second := e.pickRelays(f, s, obs)
 	if via != 0 {
 		cause = Assisted
 	}
-	if via != 0 && obs.requested && e.probablyDead(u) {
-		second = e.pickSecondRelay(f, s, obs, via)
-	}
-	v := e.send(cause, u)
+	v := e.send(cause, f.upstream)
 	v.Relay, v.Second = via, second
 	v.Answered, v.First, v.Unanswered, v.Abandoned, v.Waited = obs.answered, obs.first, obs.retransmitted, obs.abandoned, obs.waited
 	return v
 }
 
-// mayReset reports whether a flow with unanswered retransmissions may be reset: its
-// upstream is not in the roster or its address has a new owner, and it answers no client of this VM. An upstream that drained
-// before its removal has stopped as planned, and one that had crashed has crashed for others too.
-// Otherwise its entry may have expired while it is still running, so other VMs are tried first.
+// mayReset reports whether a flow with an unanswered retransmission may be reset: its upstream answers no
+// client of this VM, and it was replaced, or removed in one of three ways. One that drained before its removal
+// has stopped as planned. One that had crashed has crashed for other VMs too. The entry of any other may have
+// expired while it runs, so relaysBeforeReset other VMs are tried first.
 func (e *Engine) mayReset(u *upstream, f *flow) bool {
-	silent := e.now-max(f.lastProgress, u.lastResponse) >= minRetransmitAge
-	if !silent {
+	if e.now-max(f.lastProgress, u.lastResponse) < minRetransmitAge {
 		return false
 	}
 	return u.replaced() || u.removed && (u.Draining || e.crashed(u) || f.relayCopies >= relaysBeforeReset)
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -37,7 +37,7 @@
 
 // resetsData reports whether a packet of f with data is answered with a reset at once, since u is gone or
 // was replaced and removed. After a pause of this VM it is not, since responses may be unread.
-func (e *Engine) resetsData(u *upstream, f *flow, s Segment) bool {
+func (e *Engine) resetsData(u *upstream, f *flow, s *Segment) bool {
 	if s.Kind != Data || s.Size == 0 {
 		return false
 	}
@@ -49,7 +49,7 @@
 
 // provesAlive reports whether packet s shows that the upstream of f ran after a time: it has accepted the flow,
 // or answered a request, that began after it.
-func (f *flow) provesAlive(s Segment, after time.Duration) bool {
+func (f *flow) provesAlive(s *Segment, after time.Duration) bool {
 	if !f.opened {
 		return f.began > after
 	}
--- a/internal/route/sparcookie/relay.go
+++ b/internal/route/sparcookie/relay.go
@@ -13,8 +13,8 @@
 // another VM.
 const unresponsiveFlows = 2
 
-// deadSilence is how long an upstream that was removed has to have been silent until the first packet of
-// a request goes through other VMs: several times the age at which a request is overdue.
+// deadSilence is how long a removed upstream has shown no sign of life when the first packet of a request goes
+// through other VMs too: several times leastOverdue.
 const deadSilence = 2 * time.Second
 
 // relay is another VM, which may reach an upstream that this VM cannot reach.
@@ -24,24 +24,33 @@
 	data   sparflow.Endpoint
 }
 
-// pickRelay returns the address of the VM through which the packet is also sent, or 0. It
+// pickRelays returns the addresses of the VMs through which the packet is also sent, or 0. It
 // is for requests without a response: their upstream may have failed, or only the path
 // from this VM to it. The flow is not reset, since the upstream may serve other clients.
-// Each retransmission takes the next VM, those of the failure domain of the upstream first.
-func (e *Engine) pickRelay(f *flow, s Segment, obs observation) sparflow.Endpoint {
+func (e *Engine) pickRelays(f *flow, s *Segment, obs *observation) (via, second sparflow.Endpoint) {
 	u := f.upstream
-	if s.Size == 0 || !e.unresponsive(u) && !(obs.retransmitted && u.lastResponse <= f.requestedAt) && !(obs.requested && e.probablyDead(u)) {
-		return 0
+	startsAtDead := obs.requested && e.probablyDead(u)
+	repeats := obs.retransmitted && u.lastResponse <= f.requestedAt
+	if s.Size == 0 || !startsAtDead && !repeats && !e.unresponsive(u) {
+		return 0, 0
 	}
-	var candidates, all []relay
-	for _, r := range e.relays {
-		if r.domain == u.Domain {
-			candidates = append(candidates, r)
-		}
-		all = append(all, r)
+	via = e.nextRelay(f, s.From)
+	if via == 0 || !startsAtDead {
+		return via, 0
+	}
+	if second = e.nextRelay(f, s.From); second == via { // there is only one other VM
+		f.relayCopies--
+		return via, 0
 	}
+	return via, second
+}
+
+// nextRelay returns the address of the VM whose turn it is to send a copy of a packet of f, or 0: those of the
+// failure domain of the upstream first, in an order that depends on the client.
+func (e *Engine) nextRelay(f *flow, client sparflow.Endpoint) sparflow.Endpoint {
+	candidates := e.relaysIn(f.upstream.Domain)
 	if len(candidates) == 0 || f.relayCopies >= len(candidates) {
-		candidates = all
+		candidates = e.relays
 	}
 	if len(candidates) == 0 {
 		return 0
@@ -50,35 +59,35 @@
 	for i, r := range candidates {
 		ids[i] = r.rankID
 	}
-	order := sparrank.Order(int(uint32(s.From)), ids)
+	order := sparrank.Order(int(uint32(client)), ids)
 	chosen := candidates[order[f.relayCopies%len(order)]]
 	f.relayCopies++
 	return chosen.data
 }
 
+// relaysIn returns the other VMs of a failure domain.
+func (e *Engine) relaysIn(domain string) (list []relay) {
+	for _, r := range e.relays {
+		if r.domain == domain {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // unresponsive reports whether u is probably unreachable from this VM: it has not answered
 // a SYN, which load does not delay, and several flows have unanswered retransmissions.
 func (e *Engine) unresponsive(u *upstream) bool {
 	return u.unansweredFlows >= unresponsiveFlows && u.syn.unansweredSince > 0 && e.now-u.syn.unansweredSince >= minRetransmitAge
 }
 
-// probablyDead reports whether u is no longer in the roster, has left a request without a response and
-// shown no sign of life here for longer than a slow upstream takes to answer. Then the first packet of a request goes through other VMs
-// too, so that relaysBeforeReset of them have sent it before its first retransmission.
+// probablyDead reports whether u is no longer in the roster, has left a request without a response, and
+// has shown no sign of life for deadSilence. Then the first packet of a request goes through other VMs too, so
+// that relaysBeforeReset of them have sent it before its first retransmission.
 func (e *Engine) probablyDead(u *upstream) bool {
 	return u.removed && !u.Draining && u.copiesSinceAlive > 0 && e.now-u.aliveAt >= deadSilence
 }
 
-// pickSecondRelay returns another VM than first through which the packet is also sent, or 0.
-func (e *Engine) pickSecondRelay(f *flow, s Segment, obs observation, first sparflow.Endpoint) sparflow.Endpoint {
-	second := e.pickRelay(f, s, obs)
-	if second == first {
-		f.relayCopies--
-		return 0
-	}
-	return second
-}
-
 // forwardRelayed returns the verdict on a packet received from another VM. The packet does
 // not update flow records, since the other VM sees the responses to it.
 func (e *Engine) forwardRelayed(s Segment) Verdict {
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -68,31 +68,13 @@
 	}
 )
 
+// applyUpstreams puts the upstreams of a roster in force.
 func (e *Engine) applyUpstreams(r sparroster.Roster) {
 	inRoster := map[uint64]bool{}
 	clear(e.pools)
 	for _, entry := range r.Upstreams {
 		inRoster[entry.ID] = true
-		u := e.upstreams[entry.ID]
-		if u == nil || u.Born != entry.Born || u.Service != entry.Service {
-			u = e.addUpstream(u, entry)
-		}
-		if u.Draining != entry.Draining || u.removed || u.unusable {
-			e.emit(UpstreamUpdated{Upstream: entry})
-		}
-		if u.Upstream != entry || u.removed || u.unusable {
-			u.death.changedAt, u.death.goneUntil = e.now, 0
-		}
-		if u.removed || u.unusable {
-			u.evidence.weight = 1 // the evidence ended with its entry
-		}
-		u.Upstream, u.removed, u.unusable = entry, false, false
-		u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
-		if entry.Warm == 0 {
-			u.warmUntil = 0
-		}
-		u.domain, u.service = e.domainOf(u.Domain), e.serviceOf(u.Service)
-		e.addToPool(u)
+		e.addToPool(e.applyEntry(entry))
 	}
 	for _, entry := range r.Unusable {
 		inRoster[entry.ID] = inRoster[entry.ID] || e.keepUnusable(entry.ID)
@@ -110,6 +92,31 @@
 	e.forgetServices()
 }
 
+// applyEntry puts the entry of an upstream in force, which may be new, changed, back or restarted.
+func (e *Engine) applyEntry(entry sparroster.Upstream) *upstream {
+	u := e.upstreams[entry.ID]
+	if u == nil || u.Born != entry.Born || u.Service != entry.Service {
+		u = e.addUpstream(u, entry)
+	}
+	back := u.removed || u.unusable
+	if back || u.Draining != entry.Draining {
+		e.emit(UpstreamUpdated{Upstream: entry})
+	}
+	if back || u.Upstream != entry {
+		u.death.changedAt, u.death.goneUntil = e.now, 0
+	}
+	if back {
+		u.evidence.weight = 1 // the evidence ended with its entry
+	}
+	u.Upstream, u.removed, u.unusable = entry, false, false
+	u.warmUntil = max(u.warmUntil, e.now+entry.Warm)
+	if entry.Warm == 0 {
+		u.warmUntil = 0
+	}
+	u.domain, u.service = e.domainOf(u.Domain), e.serviceOf(u.Service)
+	return u
+}
+
 // keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
 // flows stay. It reports whether there is such an upstream.
 func (e *Engine) keepUnusable(id uint64) bool {
--- a/internal/route/sparcookie/warmback.go
+++ b/internal/route/sparcookie/warmback.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
-// noteReturn records that u has answered again after an ejection.
+// returnTime is how long an upstream that has answered again may be left to its holders: longer than a
+// restart and its warm-up usually take. Settings that are stale for longer must not keep it idle.
+const returnTime = 10 * time.Second
+
+// noteReturn records that u has answered again after an ejection, if its health has changed.
 func (e *Engine) noteReturn(u *upstream, changed bool) {
 	if changed && u.quota != nil {
 		u.quota.back = e.now
@@ -13,17 +17,18 @@
 	e.emitHealth(u, changed)
 }
 
-// returnTime is how long an upstream that has answered again may be left to its holders: longer than a
-// restart and its warm-up usually take. Settings that are stale for longer must not keep it idle.
-const returnTime = 10 * time.Second
-
-// leftToHolders reports whether u may have restarted under its ID without the settings saying so yet: it
-// has answered again after an ejection, and they are of before its next heartbeat. Then only
-// holders use it, unless nothing else is left.
+// leftToHolders reports whether only holders may use u, unless nothing else is left, and this VM has used up its
+// part or is no holder: u may have restarted under its ID while the settings don't say so yet.
 func (e *Engine) leftToHolders(u *upstream) bool {
+	return e.mayHaveRestarted(u) && u.quota.window.Count(e.now) >= e.part(u)
+}
+
+// mayHaveRestarted reports whether u, with a limit, has answered again after an ejection, and the settings are
+// older than the next heartbeat of u after that.
+func (e *Engine) mayHaveRestarted(u *upstream) bool {
 	q := u.quota
-	if q == nil || q.back == 0 || e.now-q.back > returnTime || math.IsInf(q.rate.Value(e.now), 1) || e.warm.lease.CompleteAt() > q.back+e.warm.beat {
+	if q == nil || q.back == 0 || e.now-q.back > returnTime || math.IsInf(q.rate.Value(e.now), 1) {
 		return false
 	}
-	return q.window.Count(e.now) >= e.part(u)
+	return e.warm.lease.CompleteAt() <= q.back+e.warm.beat
 }
