sparprobe: Begin, Receive and judge in parts; names and constants explained

Cause: the package comment called NewAsker and SetGone as they no longer are (Example shows them as they are); "waiting" was a type, a field and a bound; round.since and verdict.since had riddles as comments; Begin, Receive and judge each did several jobs; Under said nothing of what it counts; constants came two to a comment without a reason.

No behaviour changes, no test changed.

--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -134,7 +134,7 @@
 		Abandoned uint64 // requests that clients gave up unanswered
 		Suspected uint64 // times that a failure domain was suspect as a whole
 
-		GoneResets uint64 // flows reset since their upstream is gone or replaced, other than by mayReset
+		GoneResets uint64 // flows reset at once since their upstream is gone, or was replaced and removed
 
 		WarmOpenings uint64 // sent to upstreams whose openings are limited
 		WarmRefusals uint64 // openings refused, or copies dropped, because of the limits
--- a/internal/route/sparprobe/ask.go
+++ b/internal/route/sparprobe/ask.go
@@ -11,13 +11,13 @@
 	Asker struct {
 		self    VM
 		run     uint32
-		most    int
-		vms     []VM              // others, in rendezvous order
-		domains map[string]string // of these VMs, by name
-		picked  map[string][]VM   // to ask about an upstream, by its failure domain
-		number  uint32
-		rounds  map[uint64]*round // under way, by mark
-		began   map[uint64]time.Duration
+		most    int                      // VMs to ask about an upstream
+		vms     []VM                     // others, in rendezvous order
+		domains map[string]string        // of these VMs, by name
+		picked  map[string][]VM          // to ask about an upstream, by its failure domain
+		number  uint32                   // of the last round; rounds that begin together share it
+		rounds  map[uint64]*round        // under way, by mark
+		began   map[uint64]time.Duration // last rounds, within roundInterval
 		gone    map[uint64]verdict
 	}
 
@@ -25,7 +25,7 @@
 	round struct {
 		number   uint32
 		upstream Upstream
-		since    time.Duration // it has answered nobody here
+		since    time.Duration // from when on an answer to a client shows that it lives
 		began    time.Duration
 		asked    []VM
 		said     map[string]bool // by name of the VM, whether it finds the upstream silent
@@ -36,7 +36,7 @@
 	// verdict is that an upstream is gone.
 	verdict struct {
 		upstream Upstream
-		since    time.Duration // the round that found it began
+		since    time.Duration // when the round began that found it gone
 		until    time.Duration
 	}
 )
@@ -68,15 +68,13 @@
 	a.number++
 	questions, silence := map[string][]uint64{}, time.Duration(0)
 	for _, s := range suspects {
-		mark := s.Mark()
-		if began, ok := a.began[mark]; ok && now-began < roundInterval {
+		if !a.mayBegin(now, s.Mark()) {
 			continue
 		}
-		r := &round{number: a.number, upstream: s.Upstream, since: s.Since, began: now, asked: a.pick(s.Domain), said: map[string]bool{}}
-		a.rounds[mark], a.began[mark] = r, now
+		r := a.begin(now, s)
 		for _, vm := range r.asked {
 			if len(questions[vm.Name]) < MaxMarks {
-				questions[vm.Name] = append(questions[vm.Name], mark)
+				questions[vm.Name] = append(questions[vm.Name], s.Mark())
 			}
 		}
 		silence = max(silence, now-s.Since)
@@ -84,8 +82,21 @@
 	return a.address(questions, min(silence, MaxSilence))
 }
 
-// Renew does the same for upstreams that are gone, if their verdict ends soon and they still have
-// flows.
+// mayBegin reports whether the last round about an upstream began long enough ago.
+func (a *Asker) mayBegin(now time.Duration, mark uint64) bool {
+	began, ok := a.began[mark]
+	return !ok || now-began >= roundInterval
+}
+
+// begin begins a round about one suspect.
+func (a *Asker) begin(now time.Duration, s Suspect) *round {
+	r := &round{number: a.number, upstream: s.Upstream, since: s.Since, began: now, asked: a.pick(s.Domain), said: map[string]bool{}}
+	a.rounds[s.Mark()], a.began[s.Mark()] = r, now
+	return r
+}
+
+// Renew begins rounds about upstreams that are gone, if their verdict ends soon and they still have
+// flows. It returns the questions to send.
 func (a *Asker) Renew(now time.Duration, look Look) []Addressed {
 	var list []Suspect
 	for mark, v := range a.gone {
@@ -124,7 +135,7 @@
 	return list
 }
 
-// Receive takes in the answer of another VM.
+// Receive takes in the answer of another VM. The error is a Refusal.
 func (a *Asker) Receive(now time.Duration, answer Answer) error {
 	if _, ok := a.domains[answer.From]; !ok {
 		return UnknownVM
@@ -133,28 +144,16 @@
 		return NotAsked
 	}
 	late := false
-	note := func(mark uint64, silent bool) bool {
+	for n, mark := range slices.Concat(answer.Silent, answer.Alive) {
 		r := a.rounds[mark]
 		if r == nil || r.number != answer.Round || now-r.began > RoundTime {
 			late = true
-			return true
-		}
-		if !slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == answer.From }) {
-			return false
-		}
-		before, said := r.said[answer.From]
-		r.said[answer.From] = silent && (before || !said) // alive stays alive
-		return true
-	}
-	for _, mark := range answer.Silent {
-		if !note(mark, true) {
-			return NotAsked
+			continue
 		}
-	}
-	for _, mark := range answer.Alive {
-		if !note(mark, false) {
+		if !r.asks(answer.From) {
 			return NotAsked
 		}
+		r.note(answer.From, n < len(answer.Silent))
 	}
 	if late {
 		return Late
@@ -162,6 +161,17 @@
 	return nil
 }
 
+// asks reports whether the VM called name is asked in r.
+func (r *round) asks(name string) bool {
+	return slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == name })
+}
+
+// note records what a VM says of the upstream. Once it has said alive, that stands.
+func (r *round) note(name string, silent bool) {
+	before, said := r.said[name]
+	r.said[name] = silent && (before || !said)
+}
+
 // Cancel ends all rounds under way without a verdict: this VM was paused, and responses may be
-// waiting that it has not read.
+// unread.
 func (a *Asker) Cancel() { clear(a.rounds) }
--- a/internal/route/sparprobe/probe.go
+++ b/internal/route/sparprobe/probe.go
@@ -2,21 +2,9 @@
 // VMs: indirect probes as in SWIM.
 //
 // An Asker begins a round about upstreams that left a request without a response. It connects to each of them
-// itself and asks other VMs, whose Answerers do the same. Only if none of them reaches an upstream
-// is it gone, for a while:
-//
-//	asker := sparprobe.NewAsker(self, 12)
-//	asker.SetVMs(vms)
-//	for _, q := range asker.Begin(now, suspects) {
-//		send(q.To, q)
-//	}
-//	for _, u := range asker.Wanted(now, &connections) {
-//		connect(u) // then connections.Done(now, u.Mark(), reached)
-//	}
-//	err := asker.Receive(now, answer)
-//	for _, o := range asker.Evaluate(now, &connections, look) {
-//		engine.SetGone(o.Upstream, o.Until)
-//	}
+// itself and asks other VMs, whose Answerers do the same. An upstream is gone, for goneTime, if none of them
+// reaches it. ask.go holds what a VM asks, answer.go what it answers, connections.go the connections for both,
+// verdict.go what follows from a round; Example shows a round.
 //
 // The package does no I/O and reads no clock.
 package sparprobe
@@ -31,24 +19,27 @@
 const (
 	// ConnectTimeout is how long a connection to an upstream may take.
 	ConnectTimeout = 100 * time.Millisecond
-	// RoundTime is the age of a round from which on answers don't count.
+	// RoundTime is the longest time that a round lasts: ConnectTimeout at another VM and two messages, with
+	// room for delays. Later answers don't count.
 	RoundTime = 300 * time.Millisecond
 	// roundInterval is the least time between the beginnings of two rounds about an upstream.
 	roundInterval = 500 * time.Millisecond
-	// goneTime is how long a verdict lasts, and renewBefore how long before its end a round
-	// begins that may confirm it.
-	goneTime    = 2 * time.Second
+	// goneTime is how long a verdict lasts.
+	goneTime = 2 * time.Second
+	// renewBefore is how long before the end of a verdict a round begins that may confirm it: more than a
+	// RoundTime, so that there is no gap.
 	renewBefore = 600 * time.Millisecond
-	// MaxVMs bounds the VMs asked, and nearShare is the part of them that may be in the failure
-	// domain of the upstream before others are asked.
-	MaxVMs    = 16
+	// MaxVMs bounds the VMs asked about an upstream.
+	MaxVMs = 16
+	// nearShare is the part of the VMs asked that are in the failure domain of the upstream, if there are
+	// enough of both.
 	nearShare = 2.0 / 3
-	// leastWitnesses is the number of VMs that have to find an upstream silent, if so many are
+	// leastWitnesses is the number of other VMs that have to find an upstream silent, if so many are
 	// listed: one may be sick, another cut off.
 	leastWitnesses = 3
-	// MaxMarks bounds the upstreams in a question, so that a datagram fits into a packet.
+	// MaxMarks bounds the upstreams in a question, so that a datagram of 8 bytes each fits into a packet.
 	MaxMarks = 64
-	// MaxSilence bounds the silence that a question names.
+	// MaxSilence bounds the silence that a question names. Verdicts may be renewed for longer.
 	MaxSilence = time.Minute
 )
 
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -10,8 +10,8 @@
 const (
 	Undecided Kind = iota // the round ended without a verdict
 	Gone                  // no VM reaches the upstream
-	Confirmed             // still so
-	Back                  // it is no longer gone, or not known to be
+	Confirmed             // a further round found the same
+	Back                  // the verdict has ended: the upstream was reached, has shown a sign of life, or no round confirmed it
 )
 
 type (
@@ -25,7 +25,7 @@
 		Asked, Silent, Alive int           // VMs; none at the end of a verdict
 		Reached              bool          // by this VM itself
 		Tried                bool          // this VM knows whether it reaches the upstream
-		Age                  time.Duration // since the round, or the one of the verdict, began
+		Age                  time.Duration // since the round began; at the end of a verdict, since its round did
 		Until                time.Duration // of Gone and Confirmed
 	}
 )
@@ -43,7 +43,7 @@
 	}
 	for mark, v := range a.gone {
 		u, ok := look(mark)
-		if !ok || now >= v.until || u.alive(v.since) {
+		if !ok || now >= v.until || u.aliveSince(v.since) {
 			delete(a.gone, mark)
 			list = append(list, Outcome{Kind: Back, Upstream: v.upstream, Age: now - v.since})
 		}
@@ -57,33 +57,24 @@
 	return list
 }
 
-// alive reports whether u has shown a sign of life since then: it answered a client of this VM, or its
+// aliveSince reports whether u has shown a sign of life since then: it answered a client of this VM, or its
 // entry has changed.
-func (u Upstream) alive(since time.Duration) bool { return u.Answered > since || u.Changed > since }
+func (u Upstream) aliveSince(since time.Duration) bool {
+	return u.Answered > since || u.Changed > since
+}
 
 // judge returns what a round has found, once it has ended: all VMs asked have answered and this VM
 // has tried itself, or it is RoundTime old, or somebody reaches the upstream.
 func (a *Asker) judge(r *round, now time.Duration, c *Connections, look Look) (o Outcome, ended bool) {
 	mark := r.upstream.Mark()
 	o = Outcome{Upstream: r.upstream, Asked: len(r.asked), Age: now - r.began}
-	near := 0 // VMs of the upstream's failure domain that find it silent
-	for name, silent := range r.said {
-		switch {
-		case !silent:
-			o.Alive++
-		case a.domains[name] == r.upstream.Domain:
-			near++
-			o.Silent++
-		default:
-			o.Silent++
-		}
-	}
+	near := a.count(r, &o)
 	if reached, known := c.Result(now, mark); known {
 		r.reached, r.tried = reached, true
 	}
 	o.Reached, o.Tried = r.reached, r.tried
 	u, known := look(mark)
-	if !known || u.alive(r.since) || o.Reached || o.Alive > 0 {
+	if !known || u.aliveSince(r.since) || o.Reached || o.Alive > 0 {
 		return o, true
 	}
 	if now-r.began < RoundTime && (o.Silent < o.Asked || !o.Tried) {
@@ -95,8 +86,25 @@
 	return o, true
 }
 
-// enough reports whether enough VMs find an upstream silent, none of which reaches it. The VMs of
-// its failure domain have to be among them: a cut between domains leaves it reachable there.
+// count counts what the VMs say in o. near is the number of those that find the upstream silent and are in its
+// failure domain.
+func (a *Asker) count(r *round, o *Outcome) (near int) {
+	for name, silent := range r.said {
+		if !silent {
+			o.Alive++
+			continue
+		}
+		o.Silent++
+		if a.domains[name] == r.upstream.Domain {
+			near++
+		}
+	}
+	return near
+}
+
+// enough reports whether enough VMs find an upstream silent, none of which reaches it: leastWitnesses, half of
+// those asked, and one in its failure domain, since a cut between domains leaves it reachable there. That one may
+// be this VM where the domain has no other.
 func (a *Asker) enough(o Outcome, near int) bool {
 	asksNear := slices.ContainsFunc(a.pick(o.Domain), func(vm VM) bool { return vm.Domain == o.Domain })
 	witnessed := near > 0 || !asksNear && a.self.Domain == o.Domain
@@ -120,5 +128,5 @@
 	return o
 }
 
-// Under returns the number of upstreams that are gone.
-func (a *Asker) Under() int { return len(a.gone) }
+// GoneCount returns the number of upstreams that are gone.
+func (a *Asker) GoneCount() int { return len(a.gone) }
--- a/internal/vm/sparentry/probe.go
+++ b/internal/vm/sparentry/probe.go
@@ -89,15 +89,15 @@
 	vm.connectAll(p.asker.Wanted(now, &p.connections))
 	for _, o := range p.asker.Evaluate(now, &p.connections, vm.engine.Look) {
 		vm.engine.SetGone(o)
-		vm.endWaiting(o)
+		vm.resetPending(o)
 		p.stats.outcomes[o.Kind]++
 		vm.logOutcome(o)
 	}
 	vm.answerProbes(now)
 }
 
-// endWaiting resets the flows at an upstream that is gone whose clients wait.
-func (vm *VM) endWaiting(o sparprobe.Outcome) {
+// resetPending resets the flows with a pending request at an upstream that is gone.
+func (vm *VM) resetPending(o sparprobe.Outcome) {
 	var b [platform.HeaderBytes]byte
 	for _, ended := range vm.engine.ResetPending(o) {
 		vm.send(platform.Reset(b[:], ended.Segment), sparflow.MakeEndpoint(ended.From.IP(), vm.port))
--- a/internal/vm/sparentry/probelog.go
+++ b/internal/vm/sparentry/probelog.go
@@ -58,5 +58,5 @@
 	m.count("gone_verdicts", p.stats.outcomes[sparprobe.Gone])
 	m.count("confirmed_verdicts", p.stats.outcomes[sparprobe.Confirmed])
 	m.count("ended_verdicts", p.stats.outcomes[sparprobe.Back])
-	m.set.Scope.Gauge("gone_upstreams").Update(float64(p.asker.Under()))
+	m.set.Scope.Gauge("gone_upstreams").Update(float64(p.asker.GoneCount()))
 }
