--- a/internal/route/sparhedge/budget.go
+++ b/internal/route/sparhedge/budget.go
@@ -6,16 +6,16 @@
 	// burst is the number of openings that may be sent twice at once: one upstream that falls
 	// silent has a few under way.
 	burst = 4
-	// suspension is how long nothing is sent twice after upstreams were short of slots.
+	// suspension is how long nothing is sent twice after Suspend.
 	suspension = time.Second
 )
 
 // Budget limits how many openings are sent twice to a share of all openings. It starts empty, so
 // the limit holds from the first one on. The zero Budget allows none.
 type Budget struct {
-	share     float64
-	tokens    float64
-	suspended time.Duration // until when
+	share          float64
+	tokens         float64 // openings that may be sent twice now
+	suspendedUntil time.Duration
 }
 
 // NewBudget returns a budget for a share of the openings.
@@ -33,8 +33,8 @@
 	return true
 }
 
-// Suspend allows none for a while.
-func (b *Budget) Suspend(now time.Duration) { b.suspended = now + suspension }
+// Suspend allows none for a while, since what is sent twice would add to a shortage.
+func (b *Budget) Suspend(now time.Duration) { b.suspendedUntil = now + suspension }
 
 // Suspended reports whether none are allowed for a while.
-func (b *Budget) Suspended(now time.Duration) bool { return now < b.suspended }
+func (b *Budget) Suspended(now time.Duration) bool { return now < b.suspendedUntil }
--- a/internal/route/sparhedge/times.go
+++ b/internal/route/sparhedge/times.go
@@ -19,28 +19,30 @@
 )
 
 const (
-	// high is the quantile of the opening times after which an opening is sent again.
-	high = 0.99
-	// usual is the quantile that most openings stay below also while some upstreams are silent.
-	// The delay is at most usualTimes as long: silent upstreams alone could lift the high
-	// quantile to the time after which clients send their SYN again.
-	usual      = 0.9
-	usualTimes = 4
+	// tailQuantile of the opening times is the delay after which an opening is sent again.
+	tailQuantile = 0.99
+	// bulkQuantile is the quantile that most openings stay below also while some upstreams are down.
+	bulkQuantile = 0.9
+	// maxBulks times the bulkQuantile is the longest delay: upstreams that are down could lift the
+	// tailQuantile to the time after which clients send their SYN again.
+	maxBulks = 4
 
 	// minDelay is above what a busy VM may add to an opening itself.
 	minDelay = 2 * time.Millisecond
 	// maxDelay is the longest useful delay: clients send their SYN again after 200 ms.
 	maxDelay = 150 * time.Millisecond
-	// minTimes is the number of opening times, by weight, without which nothing is said.
+	// minTimes is the number of opening times, by weight, below which they tell no quantile.
 	minTimes = 30
 	// halfLife is the time after which an opening time has half of its weight.
 	halfLife = 30 * time.Second
 
-	// The bounds of buckets grow by a quarter of a doubling each, so that a quantile is at most
-	// 19% too high.
-	bucketCount   = 64
-	bucketsPerTwo = 4
-	firstBucket   = 250 * time.Microsecond
+	// bucketsPerDoubling is the number of buckets between a time and its double: a quantile is at
+	// most 19% too high.
+	bucketsPerDoubling = 4
+	// firstBucket is the upper bound of the first bucket, which is shorter than any opening of interest.
+	firstBucket = 250 * time.Microsecond
+	// bucketCount is such that the last bucket begins at 11 s, far above maxDelay.
+	bucketCount = 64
 )
 
 // Times is the distribution of the opening times of late. The zero Times is empty.
@@ -93,7 +95,7 @@
 	if t.total < minTimes {
 		return 0, false
 	}
-	delay = max(minDelay, min(t.Quantile(high), usualTimes*t.Quantile(usual)))
+	delay = max(minDelay, min(t.Quantile(tailQuantile), maxBulks*t.Quantile(bulkQuantile)))
 	return delay, delay <= maxDelay
 }
 
@@ -103,10 +105,10 @@
 		return 0
 	}
 	doublings := math.Log2(float64(d) / float64(firstBucket))
-	return min(int(math.Ceil(doublings*bucketsPerTwo)), bucketCount-1)
+	return min(int(math.Ceil(doublings*bucketsPerDoubling)), bucketCount-1)
 }
 
 // boundOf returns the upper bound of a bucket.
 func boundOf(i int) time.Duration {
-	return time.Duration(float64(firstBucket) * math.Exp2(float64(i)/bucketsPerTwo))
+	return time.Duration(float64(firstBucket) * math.Exp2(float64(i)/bucketsPerDoubling))
 }
--- a/internal/route/sparquota/part.go
+++ b/internal/route/sparquota/part.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-const (
-	// Holders is the number of VMs that share the limit of an upstream: the death of one or two
-	// leaves it some openings, and few enough that a small limit gives each a whole one.
-	Holders = 3
-)
+// Holders is the number of VMs that share the limit of an upstream: the death of one or two leaves it some
+// openings, and they are so few that a small limit gives each a whole one.
+const Holders = 3
 
 // Limit returns the number of openings that an upstream may get in a second.
 func Limit(rate, overage, slack float64) float64 { return rate*overage + slack }
@@ -34,7 +32,7 @@
 	set     bool
 	inForce float64
 	next    float64
-	rises   time.Duration // when next comes into force
+	risesAt time.Duration // when next comes into force
 }
 
 // Set replaces the limit, which may be infinite.
@@ -44,7 +42,7 @@
 	case !r.set || limit <= held:
 		*r = Rate{set: true, inForce: limit, next: limit}
 	case limit != r.next:
-		r.inForce, r.next, r.rises = held, limit, now+wait
+		r.inForce, r.next, r.risesAt = held, limit, now+wait
 	}
 }
 
@@ -53,7 +51,7 @@
 	if !r.set {
 		return math.Inf(1)
 	}
-	if now >= r.rises {
+	if now >= r.risesAt {
 		r.inForce = r.next
 	}
 	return r.inForce
