route: test names say the load or the failure

Cause: TestNever, TestCrash, TestOff, TestSuspects and others told a reader of a failed run nothing of what was checked.

--- a/internal/route/sparcookie/domain_test.go
+++ b/internal/route/sparcookie/domain_test.go
@@ -255,8 +255,8 @@
 	}
 }
 
-// TestPausedVM pauses a VM with SYNs under way: the responses wait to be read.
-func TestPausedVM(t *testing.T) {
+// TestPauseMakesNoDomainSuspect pauses a VM with SYNs under way: the responses wait to be read.
+func TestPauseMakesNoDomainSuspect(t *testing.T) {
 	f := newDomains(t, "north", "east")
 	var clients []*client
 	for range 5 {
--- a/internal/route/sparcookie/evidence_test.go
+++ b/internal/route/sparcookie/evidence_test.go
@@ -12,8 +12,8 @@
 // giveUpAfter is how long a client waits for a response.
 const giveUpAfter = 2 * time.Second
 
-// TestWeights checks where new flows go by the weights of upstreams.
-func TestWeights(t *testing.T) {
+// TestNewFlowsFollowWeights checks where new flows go by the weights of upstreams.
+func TestNewFlowsFollowWeights(t *testing.T) {
 	f := newFixture(t)
 	f.engine.SetWeight(1, 0)
 	f.engine.SetWeight(2, sparevidence.Trickle)
@@ -148,9 +148,9 @@
 	}
 }
 
-// TestPressed checks when the load is worth telling: 4 VMs share 10 slots, and three requests at
+// TestLoadOrRefusalsMakePressed checks when the load is worth telling: 4 VMs share 10 slots, and three requests at
 // once take a part of each 200 ms.
-func TestPressed(t *testing.T) {
+func TestLoadOrRefusalsMakePressed(t *testing.T) {
 	for took, want := range map[time.Duration]bool{10 * time.Millisecond: false, 150 * time.Millisecond: true} {
 		f := newFixture(t)
 		f.engine.Observations()
--- a/internal/route/sparcookie/gone_test.go
+++ b/internal/route/sparcookie/gone_test.go
@@ -25,7 +25,7 @@
 	f.engine.SetGone(sparprobe.Outcome{Kind: kind, Upstream: u, Age: 100 * time.Millisecond, Until: f.now + 2*time.Second})
 }
 
-func TestSuspects(t *testing.T) {
+func TestUnansweredRequestsMakeSuspect(t *testing.T) {
 	tests := []struct {
 		name string
 		want bool
@@ -148,8 +148,8 @@
 	}
 }
 
-// TestSignsOfLife covers what keeps or returns the flows of an upstream that was found gone.
-func TestSignsOfLife(t *testing.T) {
+// TestSignsOfLifeKeepFlowsOfGoneUpstream covers what keeps or returns the flows of an upstream that was found gone.
+func TestSignsOfLifeKeepFlowsOfGoneUpstream(t *testing.T) {
 	tests := []struct {
 		name string
 		run  func(f *fixture, c *client)
@@ -196,10 +196,10 @@
 	}
 }
 
-// TestRemovedSilentUpstream covers the flows of an upstream that has been silent for long when its entry
+// TestSilentThenRemovedUpstreamResetsAtFirstCopy covers the flows of an upstream that has been silent for long when its entry
 // is removed: the first packet of a request goes through two other VMs, and the flow is reset at its
 // first retransmission. A VM that has seen no request fail waits for both as before.
-func TestRemovedSilentUpstream(t *testing.T) {
+func TestSilentThenRemovedUpstreamResetsAtFirstCopy(t *testing.T) {
 	for name, seen := range map[string]bool{"a request went unanswered": true, "nothing is known": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
@@ -224,9 +224,9 @@
 	}
 }
 
-// TestReplacedUpstream covers the flows of a crashed upstream whose address another one gets, so that connections
+// TestReplacedUpstreamResetsItsFlows covers the flows of a crashed upstream whose address another one gets, so that connections
 // to it succeed. Its flows end at once once its entry is removed, and until then at the first retransmission.
-func TestReplacedUpstream(t *testing.T) {
+func TestReplacedUpstreamResetsItsFlows(t *testing.T) {
 	tests := []struct {
 		name      string
 		born      int64
--- a/internal/route/sparcookie/hedge_test.go
+++ b/internal/route/sparcookie/hedge_test.go
@@ -61,9 +61,9 @@
 	return c.ackHandshake()
 }
 
-// TestHedgeWins: the second upstream answers first. The flow stays there, the answer counts with
+// TestClientTakesAnswerToHedge: the second upstream answers first. The flow stays there, the answer counts with
 // the time since the first SYN, and the first upstream is not blamed.
-func TestHedgeWins(t *testing.T) {
+func TestClientTakesAnswerToHedge(t *testing.T) {
 	f := newHedgingFixture(t)
 	c := f.newClient(bookingAddr)
 	h := f.hedgeOf(c)
@@ -82,9 +82,9 @@
 	}
 }
 
-// TestHedgeLoses: the first upstream answers after all. The flow stays there, and the second one,
+// TestClientTakesAnswerOfFirstUpstream: the first upstream answers after all. The flow stays there, and the second one,
 // whose SYN-ACK the client drops, is not blamed.
-func TestHedgeLoses(t *testing.T) {
+func TestClientTakesAnswerOfFirstUpstream(t *testing.T) {
 	f := newHedgingFixture(t)
 	c := f.newClient(bookingAddr)
 	first := c.open()
@@ -290,9 +290,9 @@
 	}
 }
 
-// TestDomainOfHedges: a hedge stays in the domain of the first upstream, unless half of the domain's
+// TestHedgeLeavesDomainOnlyIfItFails: a hedge stays in the domain of the first upstream, unless half of the domain's
 // upstreams are silent, which may be the domain's fault.
-func TestDomainOfHedges(t *testing.T) {
+func TestHedgeLeavesDomainOnlyIfItFails(t *testing.T) {
 	f := newHedgingFixture(t)
 	if h := f.hedgeOf(f.newClient(bookingAddr)); f.domainOf(h.ID) != "north" {
 		t.Errorf("hedge of a healthy domain goes to %d", h.ID)
--- a/internal/route/sparcookie/warm_test.go
+++ b/internal/route/sparcookie/warm_test.go
@@ -126,8 +126,8 @@
 	wantVerdict(t, f.open(), sparcookie.Reset, sparcookie.NoUpstream)
 }
 
-// TestCopyCounts sends a SYN again to an upstream that warms up: the server gets two openings.
-func TestCopyCounts(t *testing.T) {
+// TestCopyOfSYNUsesQuota sends a SYN again to an upstream that warms up: the server gets two openings.
+func TestCopyOfSYNUsesQuota(t *testing.T) {
 	f := newWarmFixture(t, 4, sparconfig.WarmLimit{Overage: 1}) // parts 2, 1, 1
 	f.add("north", time.Minute)
 	f.drain()
--- a/internal/route/sparprobe/gone_test.go
+++ b/internal/route/sparprobe/gone_test.go
@@ -11,9 +11,9 @@
 // secondRetransmission is the time between the first and the second retransmission of a request.
 const secondRetransmission = 400 * time.Millisecond
 
-// TestCrash lets 23 of 150 upstreams stop. Each VM finds one gone before the second
+// TestCrashedUpstreamsAreFoundGone lets 23 of 150 upstreams stop. Each VM finds one gone before the second
 // retransmission.
-func TestCrash(t *testing.T) {
+func TestCrashedUpstreamsAreFoundGone(t *testing.T) {
 	for _, vms := range []int{24, 96} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			f := newFleet(t, vms, 150)
@@ -29,8 +29,8 @@
 	}
 }
 
-// TestDomainStops lets all upstreams of a failure domain stop, and the VMs in it too.
-func TestDomainStops(t *testing.T) {
+// TestStoppedDomainIsFoundGone lets all upstreams of a failure domain stop, and the VMs in it too.
+func TestStoppedDomainIsFoundGone(t *testing.T) {
 	for name, vmsStop := range map[string]bool{"upstreams alone": false, "and one of its VMs": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 24, 30)
@@ -82,8 +82,8 @@
 	}
 }
 
-// TestFewVMs asks all others where few are listed.
-func TestFewVMs(t *testing.T) {
+// TestFewVMsAreAllAsked asks all others where few are listed.
+func TestFewVMsAreAllAsked(t *testing.T) {
 	f := newFleet(t, 2, 3)
 	f.kill(func(u sparprobe.Upstream) bool { return u.ID == 1 })
 	f.suspect(f.vms[1], f.upstream(1))
--- a/internal/route/sparprobe/never_test.go
+++ b/internal/route/sparprobe/never_test.go
@@ -107,8 +107,8 @@
 	},
 }
 
-// TestNever lets every VM suspect an upstream where no flow may be reset.
-func TestNever(t *testing.T) {
+// TestDoubtGivesNoVerdict lets every VM suspect an upstream where no flow may be reset.
+func TestDoubtGivesNoVerdict(t *testing.T) {
 	for name, spoil := range neverTests {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 24, 3)
@@ -152,8 +152,8 @@
 	expectNever(t, f)
 }
 
-// TestOff asks nobody.
-func TestOff(t *testing.T) {
+// TestZeroVMsToAskAsksNobody asks nobody.
+func TestZeroVMsToAskAsksNobody(t *testing.T) {
 	u := sparprobe.Upstream{ID: 1}
 	a := sparprobe.NewAsker(sparprobe.VM{Name: "vm-1"}, 1, 0)
 	a.SetVMs([]sparprobe.VM{{Name: "vm-1"}, {Name: "vm-2"}})
--- a/internal/route/sparquota/model_test.go
+++ b/internal/route/sparquota/model_test.go
@@ -235,9 +235,9 @@
 	return most
 }
 
-// TestUsedShare checks that undisturbed VMs use the whole limit under a load above it, and that
+// TestLimitIsUsedWithoutAThirdOfVMs checks that undisturbed VMs use the whole limit under a load above it, and that
 // the others go on with their parts when a third of the VMs dies and stays listed.
-func TestUsedShare(t *testing.T) {
+func TestLimitIsUsedWithoutAThirdOfVMs(t *testing.T) {
 	const limit, vms, seconds = 11, 12, 30
 	share := func(dead int) float64 {
 		total := 0
