--- a/internal/route/sparcookie/domain.go
+++ b/internal/route/sparcookie/domain.go
@@ -11,9 +11,10 @@
 	suspectUpstreams = 3
 	// recoveryLimit is how long a domain that answers again may wait for its other upstreams.
 	recoveryLimit = 10 * time.Second
-	// slowStartTime is how long an upstream that has come back counts as slowStartShare of its
-	// capacity: all VMs see it with no flows and would send it theirs at once.
-	slowStartTime  = time.Second
+	// slowStartTime is how long an upstream of a suspect domain that answers again has slowStartShare of
+	// its capacity: all VMs see it with no flows and would send it theirs at once.
+	slowStartTime = time.Second
+	// slowStartShare is a part of the capacity.
 	slowStartShare = 0.25
 )
 
--- a/internal/route/sparcookie/domainprobe.go
+++ b/internal/route/sparcookie/domainprobe.go
@@ -16,8 +16,8 @@
 	at       time.Duration
 }
 
-// probeDue reports whether a SYN of a service may probe d: its last probe was answered, or it is long
-// ago.
+// probeDue reports whether a SYN of a service may probe d: d is suspect, and its last probe for the service was
+// answered or is domainProbeInterval ago. The first one waits for that long after d became suspect.
 func (d *domainState) probeDue(service string, now time.Duration) bool {
 	if d.suspectSince == 0 {
 		return false
@@ -52,7 +52,7 @@
 // not used for probes, since their client has waited already.
 func (e *Engine) probeOwn(p *pool, exclude *upstream) *upstream {
 	if exclude != nil || len(p.local) == 0 {
-		return nil // the first of the domains is another one
+		return nil // without local upstreams, p.domains[0] is another domain
 	}
 	return e.pickProbe(p.domains[:1], p.local)
 }
--- a/internal/route/sparcookie/evidence.go
+++ b/internal/route/sparcookie/evidence.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// overdueFactor times the usual response time of its service is the age at which a request is
-	// overdue, and slowFactor times it the one from which on an answer is slow.
+	// slowFactor times the usual response time of its service is the age from which on an answer is slow.
+	slowFactor = 4
+	// overdueFactor times the usual response time of its service is the age at which a request is overdue.
 	overdueFactor = 8
-	slowFactor    = 4
 	// leastOverdue is the least age at which a request is overdue: an upstream with a full queue
 	// answers sooner.
 	leastOverdue = 400 * time.Millisecond
@@ -158,9 +158,8 @@
 	}
 }
 
-// noteOverdue counts the pending request of f once it is overdue, compared with other requests. It
-// is called at a retransmission: without a sign of the client, its flow may have moved to another VM,
-// and this one sees no response.
+// noteOverdue counts the pending request of f as failed if it is overdue. It is called at a retransmission
+// only: while the client sends nothing, its flow may have moved to another VM, which sees the response.
 func (e *Engine) noteOverdue(f *flow) {
 	usual := f.upstream.service.usual
 	if f.requestedAt == 0 || f.overdue || f.closed || usual == 0 || e.JustPaused() {
--- a/internal/route/sparcookie/hanging.go
+++ b/internal/route/sparcookie/hanging.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// hangingFactor times the usual response time of its service, and leastHanging at least, is the age at
-	// which a request hangs. It may be lower than the age at which a request is overdue, since hanging is no
-	// failure and an answer to any client refutes it.
+	// hangingFactor times the usual response time of its service is the age at which a request hangs. It may
+	// be lower than overdueFactor, since hanging is no failure and an answer to any client refutes it.
 	hangingFactor = 5
-	leastHanging  = 200 * time.Millisecond
+	// leastHanging is the least age at which a request hangs.
+	leastHanging = 200 * time.Millisecond
 	// maxWatched bounds the requests of a service that are watched: those of 2,500 a second for leastHanging.
 	maxWatched = 512
 )
--- a/internal/route/sparcookie/place.go
+++ b/internal/route/sparcookie/place.go
@@ -122,7 +122,7 @@
 		}
 		score, turn := e.score(u, key), time.Duration(0)
 		if t == tierUnhealthy {
-			turn = u.syn.lastAt // their load says little
+			turn = u.syn.lastAt // their load is that of the flows that they had before
 		}
 		if t < bestTier || t == bestTier && (turn < bestTurn || turn == bestTurn && score < bestScore) {
 			best, bestScore, bestTurn, bestTier = u, score, turn, t
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -30,9 +30,11 @@
 }
 
 // settleRace returns the upstream of a flow whose packet s has the cookie of u. A SYN may have gone to
-// several upstreams, by a hedge or by copies that moved. The first packet after it shows which SYN-ACK the
-// client has taken, and the flow stays there: a later cookie of another one comes from a SYN-ACK that
-// the client has received as well, as long as its acknowledgement is the same.
+// several upstreams, by a hedge or by copies that moved. The first packet after it has the cookie of the SYN-ACK
+// that the client has taken, and the flow is at that upstream. The client may put the cookie of a SYN-ACK that
+// comes later into its packets; while their acknowledgement is the same, they belong to the flow all the same.
+// Data that it repeats after a copy has moved follows its cookie: nobody has acknowledged it, so the
+// first packet seen here may not have been the first one sent.
 func (e *Engine) settleRace(f *flow, u *upstream, s Segment) *upstream {
 	switch {
 	case f == nil:
@@ -73,8 +75,8 @@
 }
 
 // noteLostRace records that the client has taken the SYN-ACK of another upstream than u for a SYN that
-// went to u at a time. The client tells nothing of that of u, so the SYN is no evidence
-// against u by itself.
+// went to u at a time. Its packets don't show whether u has sent one too, so a single SYN is no evidence
+// against u.
 func (e *Engine) noteLostRace(u *upstream, sent time.Duration) {
 	if u.races.at <= u.lastResponse {
 		u.races.count = 0
--- a/internal/route/sparcookie/warm.go
+++ b/internal/route/sparcookie/warm.go
@@ -13,9 +13,9 @@
 	// warmLimits bounds the openings of upstreams that warm up, over all VMs: see
 	// docs/design/warmup.md. Without a lease there are no limits.
 	warmLimits struct {
-		limit sparconfig.WarmLimit
-		lease *sparquota.Lease
-		wait  time.Duration
+		limit sparconfig.WarmLimit       // of the settings file
+		lease *sparquota.Lease           // nil if there are no limits
+		wait  time.Duration              // until all VMs with fresh settings know a change
 		beat  time.Duration              // between two heartbeats of an upstream to the platform
 		rates map[string]*sparquota.Rate // limits by service
 
@@ -129,8 +129,8 @@
 	return q.rank
 }
 
-// tickWarm has this VM ranked anew when a VM that left counts no more, and announces where this VM
-// has become a holder or has ceased to be one.
+// tickWarm ranks this VM anew once a VM that was removed no longer counts, and emits an event for each
+// upstream of which this VM has become a holder or has ceased to be one.
 func (e *Engine) tickWarm() {
 	if e.warm.lease == nil {
 		return
