--- a/internal/route/sparcookie/flow.go
+++ b/internal/route/sparcookie/flow.go
@@ -1,24 +1,11 @@
 package sparcookie
 
 import (
-	"math"
 	"time"
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 )
 
-const (
-	// recentSpan is the decay time of the count of recent requests to an upstream: a few
-	// times the service time of a request.
-	recentSpan = 60 * time.Millisecond
-	// rateSpan is the decay time of the request rate of an upstream. It is long enough
-	// to average out random variation, and short compared with a burst of seconds.
-	rateSpan = 500 * time.Millisecond
-	// abandonedSpan is the decay time of the count of abandoned requests of an upstream:
-	// several client timeouts, so that the next requests of the clients go elsewhere.
-	abandonedSpan = 5 * time.Second
-)
-
 type (
 	// flowKey identifies a flow.
 	flowKey struct {
@@ -43,19 +30,6 @@
 		closed       bool
 		hedge        hedgeState
 	}
-
-	// observation is what one packet of a client shows.
-	observation struct {
-		answered, first, retransmitted, abandoned bool
-		requested                                 bool // it is the first packet of a request
-		waited                                    time.Duration
-	}
-
-	// decayingCount is a count of requests with exponential decay over a span.
-	decayingCount struct {
-		count float64
-		at    time.Duration
-	}
 )
 
 func keyOf(s Segment) flowKey { return flowKey{client: s.From, service: s.To} }
@@ -63,62 +37,14 @@
 // seqAfter reports whether sequence number a follows b.
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
-// observe updates the flow and its upstream from one packet.
-func (e *Engine) observe(f *flow, s Segment) (obs observation) {
-	f.lastSeen = e.now
-	if !f.opened {
-		f.opened = true
-		f.ack, f.nextSeq = s.Ack, s.Seq
-		obs = observation{answered: true, first: true, waited: e.now - f.began}
-		e.recordOpeningTime(obs.waited)
-		e.noteOpened(f.upstream)
-		e.noteProgress(f)
-		f.upstream.noteAlive(f.began)
-	}
-	if seqAfter(s.Ack, f.ack) {
-		f.ack = s.Ack
-		obs.answered = obs.answered || f.requestedAt > 0
-		if f.requestedAt > 0 {
-			obs.waited = e.now - f.requestedAt
-		}
-		e.noteResponse(f)
-		if s.Size > 0 {
-			f.upstream.noteAlive(f.requestedAt)
-		} else {
-			f.upstream.noteAlive(e.now)
-		}
-		f.requestedAt = 0
-		e.noteProgress(f)
-	}
-	if s.Size == 0 {
-		return obs
-	}
-	if end := s.Seq + uint32(s.Size); seqAfter(end, f.nextSeq) {
-		f.nextSeq = end
-		obs.requested = f.requestedAt == 0
-		e.noteRequest(f)
-		return obs
-	}
-	if waited := e.now - max(f.requestedAt, f.lastProgress); waited >= minRetransmitAge {
-		obs.retransmitted, obs.waited = true, waited
-		e.noteOverdue(f)
-		if f.upstream.lastResponse <= f.requestedAt {
-			e.noteUnanswered(f.upstream, f)
-			f.upstream.silentFlows++
-			e.noteSuspect(f)
-		}
-	}
-	return obs // before minRetransmitAge it is a reordered packet
-}
-
 // noteRequest records a request, unless one is already pending.
 func (e *Engine) noteRequest(f *flow) {
 	if f.requestedAt == 0 {
 		f.requestedAt = e.now
 		e.chargeRequest(f)
 		e.beginPending(f)
-		f.upstream.recent.add(e.now, recentSpan)
-		f.upstream.rate.add(e.now, rateSpan)
+		f.upstream.load.recent.add(e.now, recentSpan)
+		f.upstream.load.rate.add(e.now, rateSpan)
 		e.limiter(f.upstream.Service).Request(e.now)
 	}
 }
@@ -135,7 +61,7 @@
 	e.noteGivenUp(f)
 	f.requestedAt = 0
 	e.stats.Abandoned++
-	f.upstream.abandoned.add(e.now, abandonedSpan)
+	f.upstream.load.abandoned.add(e.now, abandonedSpan)
 	return waited, true
 }
 
@@ -143,9 +69,9 @@
 func (e *Engine) noteProgress(f *flow) {
 	f.lastProgress = e.now
 	u := f.upstream
-	e.noteAnswer(u)
-	u.lastResponse, u.pendingSince, u.unansweredFlows = e.now, 0, 0
-	u.death.until = 0
+	e.noteDomainAnswer(u)
+	u.lastResponse, u.syn.unansweredSince, u.unansweredFlows = e.now, 0, 0
+	u.death.goneUntil = 0
 	e.noteReturn(u, u.health.Answered(e.now))
 }
 
@@ -153,7 +79,7 @@
 // the request before arrived, and not when the response did: clients may send it much later.
 func (u *upstream) noteAlive(at time.Duration) {
 	if at > u.aliveAt {
-		u.aliveAt, u.silentFlows = at, 0
+		u.aliveAt, u.copiesSinceAlive = at, 0
 	}
 }
 
@@ -185,7 +111,7 @@
 		return
 	}
 	e.flows[key] = f
-	f.upstream.flows++
+	f.upstream.load.flows++
 }
 
 // close removes f from the load of its upstream. Its last packets are still forwarded.
@@ -193,7 +119,7 @@
 	if !f.closed {
 		e.endPending(f)
 		f.closed = true
-		f.upstream.flows--
+		f.upstream.load.flows--
 	}
 }
 
@@ -220,12 +146,3 @@
 		}
 	}
 }
-
-func (r *decayingCount) add(now, span time.Duration) {
-	r.count = r.value(now, span) + 1
-	r.at = now
-}
-
-func (r *decayingCount) value(now, span time.Duration) float64 {
-	return r.count * math.Exp(-float64(now-r.at)/float64(span))
-}
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -4,11 +4,11 @@
 
 const (
 	// racesToEject is the number of openings in a row that an upstream must lose to the second
-	// one, without a response to any client meanwhile, to count as silent. One lost race shows
+	// one, without a response to any client meanwhile, to be ejected. One lost race shows
 	// nothing, since the client drops the SYN-ACK that comes second.
 	racesToEject = 2
 	// avoidTime is how long an upstream is passed over after an opening there was due for a hedge,
-	// unless it answers any client: about the pauses of a server that runs.
+	// unless it answers any client: longer than a short pause of a server that runs.
 	avoidTime = 300 * time.Millisecond
 )
 
@@ -22,17 +22,19 @@
 // sent yet. If one was sent, neither upstream has answered: then the second one has a SYN without
 // an answer, too.
 func (e *Engine) noteCopy(f *flow) {
-	f.hedge.awaiting = false
+	f.hedge.queued = false
 	second := f.hedge.rival
-	if second != nil && second.lastSYN > second.lastResponse && second.pendingSince == 0 {
-		second.pendingSince = second.lastSYN
+	if second != nil && second.syn.lastAt > second.lastResponse && second.syn.unansweredSince == 0 {
+		second.syn.unansweredSince = second.syn.lastAt
 	}
 }
 
 // settleRace returns the upstream of a flow whose packet s has the cookie of u. A SYN may have gone to
-// several upstreams, by a hedge or by copies that moved. The first packet after it shows which SYN-ACK the
-// client has taken, and the flow stays there: a later cookie of another one comes from a SYN-ACK that
-// the client has received as well, as long as its acknowledgement is the same.
+// several upstreams, by a hedge or by copies that moved. The first packet after it has the cookie of the SYN-ACK
+// that the client has taken, and the flow is at that upstream. The client may put the cookie of a SYN-ACK that
+// comes later into its packets; while their acknowledgement is the same, they belong to the flow all the same.
+// Data that it repeats after a copy has moved follows its cookie: nobody has acknowledged it, so the
+// first packet seen here may not have been the first one sent.
 func (e *Engine) settleRace(f *flow, u *upstream, s Segment) *upstream {
 	switch {
 	case f == nil:
@@ -62,8 +64,8 @@
 	}
 	f.upstream = u
 	if !f.closed {
-		first.flows--
-		u.flows++
+		first.load.flows--
+		u.load.flows++
 	}
 }
 
@@ -73,16 +75,16 @@
 }
 
 // noteLostRace records that the client has taken the SYN-ACK of another upstream than u for a SYN that
-// went to u at a time. The client tells nothing of that of u, so the SYN is no evidence
-// against u by itself.
+// went to u at a time. Its packets don't show whether u has sent one too, so a single SYN is no evidence
+// against u.
 func (e *Engine) noteLostRace(u *upstream, sent time.Duration) {
 	if u.races.at <= u.lastResponse {
 		u.races.count = 0
 	}
 	u.races.count++
 	u.races.at = e.now
-	if u.pendingSince == sent {
-		u.pendingSince = 0
+	if u.syn.unansweredSince == sent {
+		u.syn.unansweredSince = 0
 	}
 	if u.races.count >= racesToEject || u.health.Probing() {
 		u.races.count = 0
@@ -93,5 +95,5 @@
 // avoided reports whether new flows pass over u, since an opening there took longer than usual and
 // u has answered no client meanwhile. This is no failure of u, whose health stays.
 func (e *Engine) avoided(u *upstream) bool {
-	return u.avoidedAt > u.lastResponse && e.now-u.avoidedAt < avoidTime
+	return u.syn.avoidedAt > u.lastResponse && e.now-u.syn.avoidedAt < avoidTime
 }
