sparcookie: copies of a packet go through different VMs

Then a flow of a removed upstream was reset after one other VM had tried, not two as design/cookie.md says. Now the VMs of the domain come first, then all others, none twice before each had its turn. TestOneRelayInTheDomain failed first: three VMs for four copies.

A hedge that is under way when hedges are switched off no longer ends the process (by reading; settings never do that while a VM runs).

--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -36,6 +36,7 @@
 	unusable  []uint64 // upstreams whose entries can't be used
 	evacuated []string // failure domains
 	routes    []sparroster.Route
+	vmDomains []string // failure domains of vm-2 and the next ones
 	port      uint16
 	awaiting  []response // by time
 }
@@ -64,7 +65,10 @@
 // newFixture returns a fixture with three upstreams of a service in the failure domain of
 // the VM and two in another one.
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, engine: sparcookie.New("vm-1", "north", 10_000), now: time.Second, port: 1000}
+	f := &fixture{
+		t: t, engine: sparcookie.New("vm-1", "north", 10_000), now: time.Second, port: 1000,
+		vmDomains: []string{"south", "south", "south"},
+	}
 	for id := range uint64(5) {
 		domain := "north"
 		if id > 2 {
@@ -90,11 +94,8 @@
 func (f *fixture) apply() {
 	registry := sparregistry.Registry{}
 	facts := map[string]sparroster.Fact{sparroster.RoutingKey: sparroster.Routing{Version: 1, Routes: f.routes, Idle: 15 * time.Second}}
-	for n := range 4 {
-		name, domain := fmt.Sprintf("vm-%d", n+1), "south"
-		if n == 0 {
-			domain = "north" // the VM itself
-		}
+	for n, domain := range append([]string{"north"}, f.vmDomains...) {
+		name := fmt.Sprintf("vm-%d", n+1)
 		facts[sparroster.VMPrefix+name] = sparroster.VM{VM: sparconfig.VM{Name: name, Domain: domain, Data: fmt.Sprintf("10.9.0.%d:1", n+1)}}
 	}
 	for _, u := range f.upstreams {
--- a/internal/route/sparcookie/place_test.go
+++ b/internal/route/sparcookie/place_test.go
@@ -1,6 +1,7 @@
 package sparcookie_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -205,6 +206,28 @@
 	}
 }
 
+// TestOneRelayInTheDomain retransmits requests whose upstream answers no client, where only one other VM is
+// in its failure domain. The next copy goes through a VM of another domain, and not twice through the same one: two
+// copies through one VM say no more of an upstream than one does.
+func TestOneRelayInTheDomain(t *testing.T) {
+	for n := range uint16(50) {
+		f := newFixture(t)
+		f.vmDomains = []string{"north", "south", "south", "south"}
+		f.apply()
+		f.port = 1000 + 701*n // another order of the VMs
+		c := f.flowAt(1)
+		var relays []string
+		for range 4 {
+			f.wait(retransmitAfter)
+			relays = append(relays, c.request().Relay.String())
+		}
+		slices.Sort(relays)
+		if got := slices.Compact(relays); len(got) != 4 {
+			t.Fatalf("four copies went through %v, want four VMs", got)
+		}
+	}
+}
+
 // TestRelayedPackets checks the verdicts on packets received from another VM.
 func TestRelayedPackets(t *testing.T) {
 	f := newFixture(t)
--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -57,7 +57,9 @@
 	first := f.upstream
 	if f.hedge.rival == u {
 		e.noteLostRace(first, f.began)
-		e.hedges.stats.Won++
+		if e.hedges != nil { // hedges may have been switched off since
+			e.hedges.stats.Won++
+		}
 		f.hedge.rival = first
 	} else {
 		e.noteLostRace(first, f.lastProgress)
--- a/internal/route/sparcookie/relay.go
+++ b/internal/route/sparcookie/relay.go
@@ -46,33 +46,34 @@
 }
 
 // nextRelay returns the address of the VM whose turn it is to send a copy of a packet of f, or 0: those of the
-// failure domain of the upstream first, in an order that depends on the client.
+// failure domain of the upstream first, then the others, each in an order that depends on the client.
 func (e *Engine) nextRelay(f *flow, client sparflow.Endpoint) sparflow.Endpoint {
-	candidates := e.relaysIn(f.upstream.Domain)
-	if len(candidates) == 0 || f.relayCopies >= len(candidates) {
-		candidates = e.relays
-	}
-	if len(candidates) == 0 {
+	if len(e.relays) == 0 {
 		return 0
 	}
+	near, far := e.relaysBy(f.upstream.Domain)
+	candidates, n := near, f.relayCopies%len(e.relays)
+	if n >= len(near) {
+		candidates, n = far, n-len(near)
+	}
 	ids := make([]uint64, len(candidates))
 	for i, r := range candidates {
 		ids[i] = r.rankID
 	}
-	order := sparrank.Order(int(uint32(client)), ids)
-	chosen := candidates[order[f.relayCopies%len(order)]]
 	f.relayCopies++
-	return chosen.data
+	return candidates[sparrank.Order(int(uint32(client)), ids)[n]].data
 }
 
-// relaysIn returns the other VMs of a failure domain.
-func (e *Engine) relaysIn(domain string) (list []relay) {
+// relaysBy returns the other VMs of a failure domain, and those of other domains.
+func (e *Engine) relaysBy(domain string) (near, far []relay) {
 	for _, r := range e.relays {
 		if r.domain == domain {
-			list = append(list, r)
+			near = append(near, r)
+		} else {
+			far = append(far, r)
 		}
 	}
-	return list
+	return near, far
 }
 
 // unresponsive reports whether u is probably unreachable from this VM: it has not answered
