--- a/internal/route/sparcookie/evidence.go
+++ b/internal/route/sparcookie/evidence.go
@@ -85,7 +85,9 @@
 // Observations returns what this VM has seen of upstreams and services since the last call.
 func (e *Engine) Observations() (o sparevidence.Observations) {
 	for _, u := range e.observing.upstreams {
-		o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.evidence.seen, Progressed: u.evidence.progressed, Hanging: u.evidence.hanging})
+		if e.upstreams[u.ID] == u { // otherwise it has restarted, and nothing of before tells of it now
+			o.Upstreams = append(o.Upstreams, sparevidence.Observation{ID: u.ID, Counts: u.evidence.seen, Progressed: u.evidence.progressed, Hanging: u.evidence.hanging})
+		}
 		u.evidence.seen, u.evidence.isObserved, u.evidence.progressed, u.evidence.hanging = sparevidence.Counts{}, false, false, false
 	}
 	e.observing.upstreams = e.observing.upstreams[:0]
--- a/internal/route/sparcookie/hanging_test.go
+++ b/internal/route/sparcookie/hanging_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
 // ejected returns the number of pairs of a VM and an upstream that it has ejected by evidence.
@@ -143,3 +145,22 @@
 	}
 	f.t.Fatalf("no flow at upstream %d", upstream)
 }
+
+// TestRestartIsNotBlamed covers an upstream that restarts under its ID while a request and a SYN wait at it: what
+// its earlier start has left unanswered is no evidence about the new one.
+func TestRestartIsNotBlamed(t *testing.T) {
+	f := newFixture(t)
+	f.engine.SetUsual(booking, 20*time.Millisecond)
+	f.flowAt(1)
+	for n := 0; n < 20; n++ { // some of these SYNs go to upstream 1
+		f.newClient(bookingAddr).open()
+	}
+	f.engine.Observations()
+	f.edit(1, func(u *sparroster.Upstream) { u.Born++ })
+	f.wait(500 * time.Millisecond)
+	for _, o := range f.engine.Observations().Upstreams {
+		if o.ID == 1 {
+			t.Errorf("%+v, want nothing of the upstream that has restarted", o)
+		}
+	}
+}
