sparprobe: an upstream that drains is never found silent

Review: a VM with older settings asks about an upstream that drains. It has stopped listening while its last flows are open, so every VM asked found it silent, also those that knew of the drain, and the asker reset the flows of an upstream that lives. TestNever 'it drains and no longer listens, and some VMs have older settings' showed it: verdicts on all VMs asking.

An answerer that knows of the drain leaves the upstream out, unless it has answered a client there, and a round of a VM that has learnt of it meanwhile ends without a verdict. Ruled out: the asker alone, which doesn't know.

--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -88,8 +88,8 @@
 
 func (e *Engine) describe(u *upstream) sparprobe.Upstream {
 	return sparprobe.Upstream{
-		ID: u.ID, Born: u.Born, Service: u.Service, Domain: u.Domain, At: u.At, Flows: u.flows,
-		Answered: u.lastResponse, Changed: u.death.changedAt,
+		ID: u.ID, Born: u.Born, Service: u.Service, Domain: u.Domain, At: u.At, Draining: u.Draining,
+		Flows: u.flows, Answered: u.lastResponse, Changed: u.death.changedAt,
 	}
 }
 
--- a/internal/route/sparprobe/answer.go
+++ b/internal/route/sparprobe/answer.go
@@ -31,7 +31,7 @@
 	a.waiting = append(a.waiting, w)
 	for _, mark := range q.Marks {
 		u, ok := look(mark)
-		if ok && !w.served(u) && c.Begin(now, mark) {
+		if ok && !u.Draining && !w.served(u) && c.Begin(now, mark) {
 			open = append(open, u)
 		}
 	}
@@ -65,12 +65,13 @@
 	Answer
 }
 
-// answer returns what is known. An upstream without a result is left out.
+// answer returns what is known. An upstream without a result is left out, and
+// so is one that drains: that it no longer listens tells nothing of its flows.
 func (w waiting) answer(now time.Duration, c *Connections, look Look) (answer Answer, complete bool) {
 	answer, complete = Answer{Run: w.Run, Round: w.Round}, true
 	for _, mark := range w.Marks {
 		u, ok := look(mark)
-		if !ok {
+		if !ok || u.Draining && !w.served(u) {
 			continue
 		}
 		reached, known := c.Result(now, mark)
--- a/internal/route/sparprobe/never_test.go
+++ b/internal/route/sparprobe/never_test.go
@@ -89,6 +89,12 @@
 			}
 		})
 	},
+	"it drains and no longer listens, and some VMs have older settings": func(f *fleet) {
+		f.kill(func(u sparprobe.Upstream) bool { return u.ID == 1 })
+		for n, v := range f.vms {
+			v.draining = map[uint64]bool{f.upstream(1).Mark(): n%4 != 0}
+		}
+	},
 	"the askers were paused": func(f *fleet) {
 		f.kill(func(u sparprobe.Upstream) bool { return u.ID == 1 })
 		f.after(30*time.Millisecond, func() {
--- a/internal/route/sparprobe/probe.go
+++ b/internal/route/sparprobe/probe.go
@@ -75,6 +75,7 @@
 		Service  string
 		Domain   string
 		At       sparflow.Endpoint
+		Draining bool          // it may stop listening before its flows have ended
 		Flows    int           // open flows on record
 		Answered time.Duration // last answer to a client of this VM
 		Changed  time.Duration // last change of its entry, other than its removal
--- a/internal/route/sparprobe/probe_test.go
+++ b/internal/route/sparprobe/probe_test.go
@@ -62,6 +62,7 @@
 		answered    map[uint64]time.Duration // last answer of an upstream to a client here
 		changed     map[uint64]time.Duration
 		unknown     map[uint64]bool // upstreams that this VM doesn't know
+		draining    map[uint64]bool // upstreams that drain, as far as this VM knows
 		stopped     bool            // paused: it does nothing
 		sick        bool            // it finds every upstream silent
 		outcomes    []sparprobe.Outcome
@@ -146,7 +147,7 @@
 
 func (v *vm) look(mark uint64) (u sparprobe.Upstream, ok bool) {
 	u, ok = v.fleet.upstreams[mark]
-	u.Answered, u.Changed = v.answered[mark], v.changed[mark]
+	u.Answered, u.Changed, u.Draining = v.answered[mark], v.changed[mark], v.draining[mark]
 	return u, ok && !v.unknown[mark]
 }
 
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -83,7 +83,7 @@
 	}
 	o.Reached, o.Tried = r.reached, r.tried
 	u, known := look(mark)
-	if !known || u.alive(r.since) || o.Reached || o.Alive > 0 {
+	if !known || u.Draining || u.alive(r.since) || o.Reached || o.Alive > 0 {
 		return o, true
 	}
 	if now-r.began < RoundTime && (o.Silent < o.Asked || !o.Tried) {
