sparcookie: a verdict spares flows that moved here since, and unknown cookies

Review, two ways to reset a flow that lives at another start or upstream: an upstream restarts under its ID while this VM has a verdict on the earlier start and older settings; a flow opened through another VM moves here and was reset at its first packet with data (TestFlowOfALaterStart). And a packet with the cookie of an upstream that this VM does not know yet was taken for one of the record with its addresses, an earlier attempt at an upstream that is gone, replaced or ejected and removed (TestUnknownCookie). Both tests failed before.

A packet with an unknown cookie is sent on as before and resets nothing. Ruled out: dropping such packets, since a cookie may be unknown for a moment.

go test ./internal/route/sparcookie: ok

--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -149,7 +149,7 @@
 		}
 		e.close(f)
 	}
-	if obs.retransmitted && e.mayReset(u, f) {
+	if obs.retransmitted && !e.elsewhere(s) && e.mayReset(u, f) {
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -118,20 +118,22 @@
 
 // resetsGone reports whether a packet of f is answered with a reset because u is gone. Not, if it
 // shows a sign of life: that u has accepted the flow, or answered a request, that came after it was found
-// silent. A packet without data is left to observe. After a pause, a sign
+// silent. A flow that has moved here since then may have been opened at a later start of u, which
+// other VMs know sooner. A packet without data is left to observe. After a pause, a sign
 // of life may be waiting.
 func (e *Engine) resetsGone(u *upstream, f *flow, s Segment) bool {
-	if s.Kind != Data || s.Size == 0 {
+	if s.Kind != Data || s.Size == 0 || e.elsewhere(s) {
 		return false
 	}
 	if u.removed && u.replaced() {
 		return true
 	}
-	if !e.gone(u) || e.JustPaused() {
+	if !e.gone(u) || e.JustPaused() || f.began > u.death.since {
 		return false
 	}
-	if !f.opened {
-		return f.began <= u.death.since
-	}
-	return !(seqAfter(s.Ack, f.ack) && f.requestedAt > u.death.since)
+	return !f.opened || !(seqAfter(s.Ack, f.ack) && f.requestedAt > u.death.since)
 }
+
+// elsewhere reports whether s has the cookie of an upstream that this VM does not know: other VMs may
+// know it, and the record with the addresses of s is of an earlier flow or SYN.
+func (e *Engine) elsewhere(s Segment) bool { return s.Cookie != 0 && e.cookies[s.Cookie] == nil }
--- a/internal/route/sparcookie/waiting.go
+++ b/internal/route/sparcookie/waiting.go
@@ -16,15 +16,15 @@
 	Verdict
 }
 
-// EndWaiting ends the flows of an upstream that is gone whose clients wait for a response. A reset has to
-// be sent for each of them.
+// EndWaiting ends the flows of an upstream that is gone whose clients wait for a response, unless they
+// are new here since it was found silent, see resetsGone. A reset has to be sent for each of them.
 func (e *Engine) EndWaiting(o sparprobe.Outcome) (list []Ended) {
 	u := e.marks[o.Mark()]
 	if u == nil || !e.gone(u) {
 		return nil
 	}
 	for key, f := range e.flows {
-		if f.upstream != u || !f.opened || f.closed || f.requestedAt == 0 || e.now-f.requestedAt >= maxWaited {
+		if f.upstream != u || !f.opened || f.closed || f.began > u.death.since || f.requestedAt == 0 || e.now-f.requestedAt >= maxWaited {
 			continue
 		}
 		v := e.reset(UpstreamGone, u)
