sparentry: a connection that fails for want of means here shows nothing

Many VMs may be short at the same moment, as when many upstreams are lost at once, and would then confirm each other's suspicion of an upstream that lives.

Such a connection is dropped: the VM answers nothing about the upstream, an asker has no result of its own and reaches no verdict. Not shown: a wrong verdict of a whole fleet.

--- a/internal/vm/sparentry/export_test.go
+++ b/internal/vm/sparentry/export_test.go
@@ -18,3 +18,13 @@
 
 // AddAdmissionState adds an admission state to the fields of a log line.
 var AddAdmissionState = addAdmissionState
+
+// Results of connections to upstreams.
+const (
+	DialUnknown = dialUnknown
+	DialSilent  = dialSilent
+	DialAlive   = dialAlive
+)
+
+// JudgeDial returns what a connection shows that ended so after some time.
+var JudgeDial = judgeDial
--- a/internal/vm/sparentry/probe.go
+++ b/internal/vm/sparentry/probe.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -23,6 +25,16 @@
 	// connectRing is the number of upstreams that may wait for a connection. sparprobe bounds those
 	// under way.
 	connectRing = 64
+	// lateTimeout is the delay of a timeout from which on this VM may not have noticed that the connection
+	// had opened: it got no processor time.
+	lateTimeout = 20 * time.Millisecond
+)
+
+// What a connection shows.
+const (
+	dialUnknown dialResult = iota // nothing: this VM lacks the means
+	dialSilent
+	dialAlive
 )
 
 type (
@@ -45,9 +57,12 @@
 
 	// connected is the outcome of a connection to an upstream.
 	connected struct {
-		mark    uint64
-		reached bool
+		mark uint64
+		dialResult
 	}
+
+	// dialResult is what a connection shows about its upstream.
+	dialResult uint8
 )
 
 func (connected) input() {}
@@ -159,7 +174,11 @@
 // connectionDone takes in the outcome of a connection. A question may be answered now.
 func (vm *VM) connectionDone(c connected) {
 	now := time.Since(vm.began)
-	vm.prober.connections.Done(now, c.mark, c.reached)
+	if c.dialResult == dialUnknown {
+		vm.prober.connections.Drop(c.mark)
+	} else {
+		vm.prober.connections.Done(now, c.mark, c.dialResult == dialAlive)
+	}
 	if !vm.engine.JustPaused() && now-vm.tickedAt <= lateTick {
 		vm.answerProbes(now)
 	}
@@ -181,22 +200,38 @@
 	for {
 		select {
 		case u := <-vm.connects.Out():
-			workers.Go(func() { vm.post(ctx, connected{mark: u.Mark(), reached: reaches(ctx, u.At)}) })
+			workers.Go(func() { vm.post(ctx, connected{mark: u.Mark(), dialResult: dial(ctx, u.At)}) })
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// reaches reports whether a connection to an address opens in time.
-func reaches(ctx context.Context, at sparflow.Endpoint) bool {
+// dial opens a connection to an address and closes it at once.
+func dial(ctx context.Context, at sparflow.Endpoint) dialResult {
 	ip := at.IP()
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(ip >> 24), byte(ip >> 16), byte(ip >> 8), byte(ip)}), at.Port())
 	dialer := net.Dialer{Timeout: sparprobe.ConnectTimeout, KeepAlive: -1}
+	began := time.Now()
 	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
-	if err != nil {
-		return false
+	if err == nil {
+		_ = conn.Close() // nothing was sent
 	}
-	_ = conn.Close() // nothing was sent
-	return true
+	return judgeDial(err, time.Since(began))
+}
+
+// judgeDial returns what a connection shows that ended so after some time. A lack of descriptors, ports or
+// memory and a timeout that comes late are faults of this VM.
+func judgeDial(err error, took time.Duration) dialResult {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return dialAlive
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
+		errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, context.Canceled):
+		return dialUnknown
+	case errors.As(err, &timeout) && timeout.Timeout() && took >= sparprobe.ConnectTimeout+lateTimeout:
+		return dialUnknown
+	}
+	return dialSilent
 }
