sparcookie: an upstream listed before another is no later owner of its address

Review: a server whose clock is ahead at its start crashes, its address is used again, and while its entry stands the new owner counted as replaced, since its start looks earlier. A flow that moved to a VM without a sign of life from the new owner yet was reset at its first retransmission, though its upstream lives. TestNewOwnerBornEarlier failed with upstream-gone.

The later owner now must also have been listed no sooner. A VM that learns of both at once goes by their starts as before: left as it is, the platform's order of creation isn't part of the roster.

--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -15,22 +15,24 @@
 	suspect    bool          // in Engine.suspects
 	askedFor   time.Duration // arrival of the request without a response
 	changedAt  time.Duration // last change of its entry
+	listedAt   time.Duration // when this VM learnt of this start
 }
 
 // gone reports whether other VMs have confirmed that u is dead.
 func (e *Engine) gone(u *upstream) bool { return e.now < u.death.until }
 
 // noteReplaced finds the upstreams whose address belongs to one that started later: they have ended, since
-// two can't listen there.
+// two can't listen there. One that was listed before is none, whatever its clock said at its start.
 func (e *Engine) noteReplaced() {
-	latest := map[sparflow.Endpoint]int64{}
+	latest := map[sparflow.Endpoint]*upstream{}
 	for _, u := range e.upstreams {
-		if !u.removed {
-			latest[u.At] = max(latest[u.At], u.Born)
+		if last := latest[u.At]; !u.removed && (last == nil || last.Born < u.Born) {
+			latest[u.At] = u
 		}
 	}
 	for _, u := range e.upstreams {
-		if u.Born == 0 || latest[u.At] <= u.Born {
+		last := latest[u.At]
+		if u.Born == 0 || last == nil || last.Born <= u.Born || last.death.listedAt < u.death.listedAt {
 			u.death.replacedAt = 0
 		} else if u.death.replacedAt == 0 {
 			u.death.replacedAt = e.now
--- a/internal/route/sparcookie/gone_other_test.go
+++ b/internal/route/sparcookie/gone_other_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparprobe"
+	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
 
 // TestFlowOfALaterStart covers an upstream that has restarted under its ID and takes flows through VMs that
@@ -72,3 +73,28 @@
 	f.upstreams = append(f.upstreams, next)
 	f.remove(id)
 }
+
+// TestNewOwnerBornEarlier covers an upstream at the address of a crashed one whose clock was ahead when it started,
+// so that the entry of the crashed one has the later start and stands for a while. A flow of the new owner moves
+// here, before this VM has had a sign of life from it.
+func TestNewOwnerBornEarlier(t *testing.T) {
+	f := newFixture(t)
+	f.edit(1, func(u *sparroster.Upstream) { u.Born = 99 })
+	f.wait(time.Second)
+	next := newUpstream(9, "north")
+	next.At = f.upstreams[0].At
+	f.upstreams = append(f.upstreams, next)
+	f.apply()
+	other := newFixture(t)
+	other.upstreams = append(other.upstreams, next)
+	other.apply()
+	moved := other.flowAt(9)
+	moved.f = f
+	f.wait(time.Second)
+	for range 2 { // the second one is a retransmission
+		if v := moved.request(); v.Action != sparcookie.ToUpstream || v.ID != 9 {
+			t.Errorf("%+v, want it sent to upstream 9", v)
+		}
+		f.wait(retransmitAfter)
+	}
+}
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -75,7 +75,7 @@
 // addUpstream adds an upstream that is new or has restarted. The records of flows from
 // before a restart are deleted.
 func (e *Engine) addUpstream(prev *upstream, entry sparroster.Upstream) *upstream {
-	u := &upstream{Upstream: entry, weight: 1}
+	u := &upstream{Upstream: entry, weight: 1, death: goneState{listedAt: e.now}}
 	if prev != nil {
 		u.cookie = prev.cookie
 		u.quota = prev.quota // its openings of the last second still count
