sparprobe: fewer VMs listed for a while don't lower the witnesses

Review: an outage or a restored store may take the entries of most VMs from the list for seconds. With one other VM left a verdict needed one witness, so that two VMs that are cut from an upstream that lives found it gone. TestNever 'the entries of most VMs were lost, and those left are cut from the upstream' failed with verdicts at both.

Three witnesses are needed wherever three others have been listed in this run. A fleet that shrinks to fewer for good reaches no verdicts until its VMs restart, and waits for the removal of entries as before. Not covered: a VM that starts with a short list.

go test ./internal/route/sparprobe: ok

--- a/internal/route/sparprobe/ask.go
+++ b/internal/route/sparprobe/ask.go
@@ -13,6 +13,7 @@
 		run     uint32
 		most    int
 		vms     []VM              // others, in rendezvous order
+		listed  int               // most others listed so far; entries may be lost for a while
 		domains map[string]string // of these VMs, by name
 		picked  map[string][]VM   // to ask about an upstream, by its failure domain
 		number  uint32
@@ -53,6 +54,7 @@
 // SetVMs replaces the VMs that may be asked.
 func (a *Asker) SetVMs(vms []VM) {
 	a.vms = ranked(a.self.Name, vms)
+	a.listed = max(a.listed, len(a.vms))
 	clear(a.domains)
 	clear(a.picked)
 	for _, vm := range a.vms {
--- a/internal/route/sparprobe/never_test.go
+++ b/internal/route/sparprobe/never_test.go
@@ -95,6 +95,12 @@
 			v.draining = map[uint64]bool{f.upstream(1).Mark(): n%4 != 0}
 		}
 	},
+	"the entries of most VMs were lost, and those left are cut from the upstream": func(f *fleet) {
+		f.reaches = func(v *vm, _ sparprobe.Upstream) bool { return v != f.vms[0] && v != f.vms[3] }
+		for _, v := range f.vms {
+			v.asker.SetVMs([]sparprobe.VM{f.vms[0].VM, f.vms[3].VM})
+		}
+	},
 	"the askers were paused": func(f *fleet) {
 		f.kill(func(u sparprobe.Upstream) bool { return u.ID == 1 })
 		f.after(30*time.Millisecond, func() {
--- a/internal/route/sparprobe/probe.go
+++ b/internal/route/sparprobe/probe.go
@@ -43,7 +43,7 @@
 	// domain of the upstream before others are asked.
 	MaxVMs    = 16
 	nearShare = 2.0 / 3
-	// leastWitnesses is the number of VMs that have to find an upstream silent, if so many are
+	// leastWitnesses is the number of VMs that have to find an upstream silent, if so many have been
 	// listed: one may be sick, another cut off.
 	leastWitnesses = 3
 	// MaxMarks bounds the upstreams in a question, so that a datagram fits into a packet.
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -100,7 +100,7 @@
 func (a *Asker) enough(o Outcome, near int) bool {
 	asksNear := slices.ContainsFunc(a.pick(o.Domain), func(vm VM) bool { return vm.Domain == o.Domain })
 	witnessed := near > 0 || !asksNear && a.self.Domain == o.Domain
-	return witnessed && o.Silent >= min(leastWitnesses, max(len(a.vms), 1)) && 2*o.Silent >= o.Asked
+	return witnessed && o.Silent >= min(leastWitnesses, max(a.listed, 1)) && 2*o.Silent >= o.Asked
 }
 
 // decide puts the outcome of a round in force.
