sparcookie: the first packet after a pause counts as after a pause

Review: a packet that a VM handles 100 to 200 ms after its last tick came before the check that notices pauses, so a verdict from before the pause reset its flow while a sign of life might be waiting.

JustPaused now counts a pause that no tick has noticed yet. It also keeps such packets from naming suspects and from counting as overdue, as intended for pauses.

--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -75,8 +75,10 @@
 }
 
 // JustPaused reports whether this VM was paused so recently that responses may be waiting that it has
-// not read.
-func (e *Engine) JustPaused() bool { return e.now-e.pausedAt < catchUpTime }
+// not read. A pause that no tick has noticed yet counts.
+func (e *Engine) JustPaused() bool {
+	return e.now-e.pausedAt < catchUpTime || e.now-e.checkedAt >= pauseLimit
+}
 
 // Look returns what this VM knows of the upstream with a mark: one in the roster, or one removed
 // lately.
--- a/internal/route/sparcookie/gone_other_test.go
+++ b/internal/route/sparcookie/gone_other_test.go
@@ -98,3 +98,14 @@
 		f.wait(retransmitAfter)
 	}
 }
+
+// TestPacketBeforeTheTick covers the first packet after a pause, which this VM handles before its next tick: a
+// sign of life may be waiting behind it.
+func TestPacketBeforeTheTick(t *testing.T) {
+	f := newFixture(t)
+	c := f.flowAt(1)
+	f.wait(retransmitAfter)
+	f.setGone(1)
+	f.now += 3 * tickEvery
+	wantVerdict(t, c.request(), sparcookie.ToUpstream, sparcookie.Assisted)
+}
