sparprobe: a late answer that an upstream lives ends the verdict

Review: half of the VMs asked are enough for a verdict. If the others are busy and say after the round that they reach the upstream, their answers were refused as late and the verdict stood until the next round, 1.4 s later. TestLateAnswerEndsVerdict failed so.

The verdict keeps its round, and an answer of a VM that it asked ends it. Late answers still count as late in the metrics, and one that says silent changes nothing.

go test ./internal/route/sparprobe: ok

--- a/internal/route/sparprobe/ask.go
+++ b/internal/route/sparprobe/ask.go
@@ -39,6 +39,8 @@
 		upstream Upstream
 		since    time.Duration // the round that found it began
 		until    time.Duration
+		round    *round // that found it
+		refuted  bool   // a VM that it asked has reached the upstream, and answered late
 	}
 )
 
@@ -139,9 +141,12 @@
 		r := a.rounds[mark]
 		if r == nil || r.number != answer.Round || now-r.began > RoundTime {
 			late = true
+			if !silent {
+				a.refute(mark, answer)
+			}
 			return true
 		}
-		if !slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == answer.From }) {
+		if !r.asks(answer.From) {
 			return false
 		}
 		before, said := r.said[answer.From]
@@ -164,6 +169,19 @@
 	return nil
 }
 
+// refute notes that an upstream is alive by an answer that came after the round that found it gone.
+func (a *Asker) refute(mark uint64, answer Answer) {
+	if v, ok := a.gone[mark]; ok && v.round.number == answer.Round && v.round.asks(answer.From) {
+		v.refuted = true
+		a.gone[mark] = v
+	}
+}
+
+// asks reports whether the round asks a VM.
+func (r *round) asks(name string) bool {
+	return slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == name })
+}
+
 // Cancel ends all rounds under way without a verdict: this VM was paused, and responses may be
 // waiting that it has not read.
 func (a *Asker) Cancel() { clear(a.rounds) }
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -38,12 +38,12 @@
 	for mark, r := range a.rounds {
 		if o, ended := a.judge(r, now, c, look); ended {
 			delete(a.rounds, mark)
-			list = append(list, a.decide(mark, o, now))
+			list = append(list, a.decide(r, o, now))
 		}
 	}
 	for mark, v := range a.gone {
 		u, ok := look(mark)
-		if !ok || now >= v.until || u.alive(v.since) {
+		if !ok || v.refuted || now >= v.until || u.alive(v.since) {
 			delete(a.gone, mark)
 			list = append(list, Outcome{Kind: Back, Upstream: v.upstream, Age: now - v.since})
 		}
@@ -104,12 +104,13 @@
 }
 
 // decide puts the outcome of a round in force.
-func (a *Asker) decide(mark uint64, o Outcome, now time.Duration) Outcome {
+func (a *Asker) decide(r *round, o Outcome, now time.Duration) Outcome {
+	mark := r.upstream.Mark()
 	_, before := a.gone[mark]
 	switch {
 	case o.Kind == Gone:
 		o.Until = now + goneTime
-		a.gone[mark] = verdict{upstream: o.Upstream, since: now - o.Age, until: o.Until}
+		a.gone[mark] = verdict{upstream: o.Upstream, since: now - o.Age, until: o.Until, round: r}
 		if before {
 			o.Kind = Confirmed
 		}
