--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -142,7 +142,7 @@
 	if s.Kind == FIN || s.Kind == RST {
 		e.observeEnd(f, &obs)
 	}
-	if obs.retransmitted && e.mayReset(u, f) {
+	if obs.retransmitted && !e.elsewhere(&s) && e.mayReset(u, f) {
 		e.forget(key)
 		return e.reset(UpstreamGone, u)
 	}
--- a/internal/route/sparcookie/gone.go
+++ b/internal/route/sparcookie/gone.go
@@ -16,6 +16,7 @@
 	goneSince    time.Duration // when the round began that found it gone
 	replacedAt   time.Duration // when this VM learnt that its address belongs to a later start, or 0
 	changedAt    time.Duration // last change of its entry, apart from its removal
+	listedAt     time.Duration // when this VM learnt of this start
 }
 
 // gone reports whether the verdict is in force that no VM reaches u.
@@ -36,22 +37,24 @@
 }
 
 // resetsData reports whether a packet of f with data is answered with a reset at once, since u is gone or
-// was replaced and removed. After a pause of this VM it is not, since responses may be unread.
+// was replaced and removed. A flow that has moved here since the verdict's round began may have been opened at a
+// later start of u, which other VMs know sooner. After a pause of this VM responses may be unread.
 func (e *Engine) resetsData(u *upstream, f *flow, s *Segment) bool {
-	if s.Kind != Data || s.Size == 0 {
+	if s.Kind != Data || s.Size == 0 || e.elsewhere(s) {
 		return false
 	}
 	if u.removed && u.replaced() {
 		return true
 	}
-	return e.gone(u) && !e.JustPaused() && !f.provesAlive(s, u.death.goneSince)
+	return e.gone(u) && !e.JustPaused() && f.began <= u.death.goneSince && !f.provesAlive(s, u.death.goneSince)
 }
 
-// provesAlive reports whether packet s shows that the upstream of f ran after a time: it has accepted the flow,
-// or answered a request, that began after it.
+// provesAlive reports whether packet s of an open flow shows that its upstream ran after a time: it acknowledges the
+// response to a request that arrived after it.
 func (f *flow) provesAlive(s *Segment, after time.Duration) bool {
-	if !f.opened {
-		return f.began > after
-	}
-	return seqAfter(s.Ack, f.ack) && f.requestedAt > after
+	return f.opened && seqAfter(s.Ack, f.ack) && f.requestedAt > after
 }
+
+// elsewhere reports whether s has the cookie of an upstream that this VM does not know: other VMs may
+// know it, and the record with the addresses of s is of an earlier flow or SYN.
+func (e *Engine) elsewhere(s *Segment) bool { return s.Cookie != 0 && e.cookies[s.Cookie] == nil }
--- a/internal/route/sparcookie/opening.go
+++ b/internal/route/sparcookie/opening.go
@@ -20,8 +20,10 @@
 }
 
 // JustPaused reports whether this VM was paused, or had no settings, so recently that it may not have read
-// all responses.
-func (e *Engine) JustPaused() bool { return e.now-e.pausedAt < catchUpTime }
+// all responses. A pause that no tick has noticed yet counts.
+func (e *Engine) JustPaused() bool {
+	return e.now-e.pausedAt < catchUpTime || e.now-e.checkedAt >= pauseLimit
+}
 
 // noteOpening records a SYN sent to u, which has to be answered within synAckTimeout.
 func (e *Engine) noteOpening(u *upstream) {
--- a/internal/route/sparcookie/replaced.go
+++ b/internal/route/sparcookie/replaced.go
@@ -3,16 +3,17 @@
 import "github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 
 // noteReplaced finds the upstreams whose address belongs to one that started later. They have ended, since
-// two can't listen there.
+// two can't listen there. One that was listed before is no later owner, whatever its clock said at its start.
 func (e *Engine) noteReplaced() {
-	latest := map[sparflow.Endpoint]int64{} // start of the latest upstream in the roster, by address
+	latest := map[sparflow.Endpoint]*upstream{} // in the roster, by address
 	for _, u := range e.upstreams {
-		if !u.removed {
-			latest[u.At] = max(latest[u.At], u.Born)
+		if last := latest[u.At]; !u.removed && (last == nil || last.Born < u.Born) {
+			latest[u.At] = u
 		}
 	}
 	for _, u := range e.upstreams {
-		if u.Born == 0 || latest[u.At] <= u.Born {
+		last := latest[u.At]
+		if u.Born == 0 || last == nil || last.Born <= u.Born || last.death.listedAt < u.death.listedAt {
 			u.death.replacedAt = 0
 		} else if u.death.replacedAt == 0 {
 			u.death.replacedAt = e.now
--- a/internal/route/sparcookie/resetpending.go
+++ b/internal/route/sparcookie/resetpending.go
@@ -16,15 +16,15 @@
 	Verdict
 }
 
-// ResetPending ends the flows with a pending request at an upstream that is gone. The caller sends a reset
-// for each of them.
+// ResetPending ends the flows with a pending request at an upstream that is gone, unless they are new here
+// since it was found silent, see resetsData. The caller sends a reset for each of them.
 func (e *Engine) ResetPending(o sparprobe.Outcome) (list []Ended) {
 	u := e.asking.marks[o.Mark()]
 	if u == nil || !e.gone(u) {
 		return nil
 	}
 	for key, f := range e.flows {
-		if f.upstream != u || !f.opened || f.closed || f.requestedAt == 0 || e.now-f.requestedAt >= maxPendingAge {
+		if f.upstream != u || !f.opened || f.closed || f.began > u.death.goneSince || f.requestedAt == 0 || e.now-f.requestedAt >= maxPendingAge {
 			continue
 		}
 		v := e.reset(UpstreamGone, u)
--- a/internal/route/sparprobe/answer.go
+++ b/internal/route/sparprobe/answer.go
@@ -39,7 +39,7 @@
 	a.open = append(a.open, opened)
 	for _, mark := range q.Marks {
 		u, ok := look(mark)
-		if ok && !opened.refutedBy(u) && c.Begin(now, mark) {
+		if ok && !u.Draining && !opened.refutedBy(u) && c.Begin(now, mark) {
 			connect = append(connect, u)
 		}
 	}
@@ -69,12 +69,13 @@
 	return list
 }
 
-// answer returns what is known. An upstream without a result is left out.
+// answer returns what is known. An upstream without a result is left out, and so is one that drains: that
+// it no longer listens tells nothing of its flows.
 func (q openQuestion) answer(now time.Duration, c *Connections, look Look) (answer Answer, complete bool) {
 	answer, complete = Answer{Run: q.Run, Round: q.Round}, true
 	for _, mark := range q.Marks {
 		u, ok := look(mark)
-		if !ok {
+		if !ok || u.Draining && !q.refutedBy(u) {
 			continue
 		}
 		reached, known := c.Result(now, mark)
--- a/internal/route/sparprobe/ask.go
+++ b/internal/route/sparprobe/ask.go
@@ -13,6 +13,7 @@
 		run     uint32
 		most    int                      // VMs to ask about an upstream
 		vms     []VM                     // others, in rendezvous order
+		listed  int                      // most others listed so far; entries may be lost for a while
 		domains map[string]string        // of these VMs, by name
 		picked  map[string][]VM          // to ask about an upstream, by its failure domain
 		number  uint32                   // of the last round; rounds that begin together share it
@@ -38,6 +39,8 @@
 		upstream Upstream
 		since    time.Duration // when the round began that found it gone
 		until    time.Duration
+		round    *round // that found it
+		refuted  bool   // a VM that it asked has reached the upstream, and answered late
 	}
 )
 
@@ -53,6 +56,7 @@
 // SetVMs replaces the VMs that may be asked.
 func (a *Asker) SetVMs(vms []VM) {
 	a.vms = ranked(a.self.Name, vms)
+	a.listed = max(a.listed, len(a.vms))
 	clear(a.domains)
 	clear(a.picked)
 	for _, vm := range a.vms {
@@ -148,6 +152,9 @@
 		r := a.rounds[mark]
 		if r == nil || r.number != answer.Round || now-r.began > RoundTime {
 			late = true
+			if n >= len(answer.Silent) {
+				a.refute(mark, answer)
+			}
 			continue
 		}
 		if !r.asks(answer.From) {
@@ -161,6 +168,14 @@
 	return nil
 }
 
+// refute notes that an upstream is alive by an answer that came after the round that found it gone.
+func (a *Asker) refute(mark uint64, answer Answer) {
+	if v, ok := a.gone[mark]; ok && v.round.number == answer.Round && v.round.asks(answer.From) {
+		v.refuted = true
+		a.gone[mark] = v
+	}
+}
+
 // asks reports whether the VM called name is asked in r.
 func (r *round) asks(name string) bool {
 	return slices.ContainsFunc(r.asked, func(vm VM) bool { return vm.Name == name })
--- a/internal/route/sparprobe/probe.go
+++ b/internal/route/sparprobe/probe.go
@@ -34,7 +34,7 @@
 	// nearShare is the part of the VMs asked that are in the failure domain of the upstream, if there are
 	// enough of both.
 	nearShare = 2.0 / 3
-	// leastWitnesses is the number of other VMs that have to find an upstream silent, if so many are
+	// leastWitnesses is the number of other VMs that have to find an upstream silent, if so many have been
 	// listed: one may be sick, another cut off.
 	leastWitnesses = 3
 	// MaxMarks bounds the upstreams in a question, so that a datagram of 8 bytes each fits into a packet.
@@ -66,6 +66,7 @@
 		Service  string
 		Domain   string
 		At       sparflow.Endpoint
+		Draining bool          // it may stop listening before its flows have ended
 		Flows    int           // open flows on record
 		Answered time.Duration // last answer to a client of this VM
 		Changed  time.Duration // last change of its entry, other than its removal
--- a/internal/route/sparprobe/verdict.go
+++ b/internal/route/sparprobe/verdict.go
@@ -38,12 +38,12 @@
 	for mark, r := range a.rounds {
 		if o, ended := a.judge(r, now, c, look); ended {
 			delete(a.rounds, mark)
-			list = append(list, a.decide(mark, o, now))
+			list = append(list, a.decide(r, o, now))
 		}
 	}
 	for mark, v := range a.gone {
 		u, ok := look(mark)
-		if !ok || now >= v.until || u.aliveSince(v.since) {
+		if !ok || v.refuted || now >= v.until || u.aliveSince(v.since) {
 			delete(a.gone, mark)
 			list = append(list, Outcome{Kind: Back, Upstream: v.upstream, Age: now - v.since})
 		}
@@ -74,7 +74,7 @@
 	}
 	o.Reached, o.Tried = r.reached, r.tried
 	u, known := look(mark)
-	if !known || u.aliveSince(r.since) || o.Reached || o.Alive > 0 {
+	if !known || u.Draining || u.aliveSince(r.since) || o.Reached || o.Alive > 0 {
 		return o, true
 	}
 	if now-r.began < RoundTime && (o.Silent < o.Asked || !o.Tried) {
@@ -108,16 +108,17 @@
 func (a *Asker) enough(o Outcome, near int) bool {
 	asksNear := slices.ContainsFunc(a.pick(o.Domain), func(vm VM) bool { return vm.Domain == o.Domain })
 	witnessed := near > 0 || !asksNear && a.self.Domain == o.Domain
-	return witnessed && o.Silent >= min(leastWitnesses, max(len(a.vms), 1)) && 2*o.Silent >= o.Asked
+	return witnessed && o.Silent >= min(leastWitnesses, max(a.listed, 1)) && 2*o.Silent >= o.Asked
 }
 
 // decide puts the outcome of a round in force.
-func (a *Asker) decide(mark uint64, o Outcome, now time.Duration) Outcome {
+func (a *Asker) decide(r *round, o Outcome, now time.Duration) Outcome {
+	mark := r.upstream.Mark()
 	_, before := a.gone[mark]
 	switch {
 	case o.Kind == Gone:
 		o.Until = now + goneTime
-		a.gone[mark] = verdict{upstream: o.Upstream, since: now - o.Age, until: o.Until}
+		a.gone[mark] = verdict{upstream: o.Upstream, since: now - o.Age, until: o.Until, round: r}
 		if before {
 			o.Kind = Confirmed
 		}
