--- a/internal/route/sparcookie/forward_test.go
+++ b/internal/route/sparcookie/forward_test.go
@@ -85,7 +85,7 @@
 	wantVerdict(t, c.request(), sparcookie.Drop, sparcookie.UnknownCookie)
 }
 
-func TestSYNsWithoutRouteOrUpstreamAreRefused(t *testing.T) {
+func TestRefusals(t *testing.T) {
 	f := newFixture(t)
 	wantVerdict(t, f.newClient(unroutedAddr).open(), sparcookie.Reset, sparcookie.NoRoute)
 	f.engine.SetFresh(false)
