review: case 8, a flow breaks while a new server is slow to accept SYNs

The VM that has the flow on record sends data that the client repeats by its echo, to a server whose late SYN+ACK lost the race; that server resets the flow. Planned replacement of servers alone brings it about.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]play{
 	"moved-route": movedRoute,
 	"late-syn":    lateSYN,
+	"cold-server": coldServer,
 }
 
 func main() {
--- a/review/_standin-2/server.go
+++ b/review/_standin-2/server.go
@@ -33,6 +33,7 @@
 		born    time.Time
 		most    int
 		work    time.Duration
+		slowSYN time.Duration // from a SYN to its SYN+ACK
 		conn    *net.UDPConn
 		tcp     net.Listener
 
@@ -150,7 +151,26 @@
 		return
 	}
 	f.echo = h.Cookie
-	s.send(k, sparfake.Header{Flags: sparfake.Syn | sparfake.Ack, Seq: f.seq, Ack: f.ack, Cookie: f.echo}, nil)
+	answer := func() {
+		s.send(k, sparfake.Header{Flags: sparfake.Syn | sparfake.Ack, Seq: f.seq, Ack: f.ack, Cookie: f.echo}, nil)
+	}
+	if s.slowSYN == 0 {
+		answer()
+		return
+	}
+	time.AfterFunc(s.slowSYN, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.flows[k] == f && !f.open {
+			answer()
+		}
+	})
+}
+
+// drain makes the server report that it leaves. It goes on serving.
+func (s *server) drain() {
+	key, value := sparfake.Entry(s.id, s.service, s.zone, s.at.String(), true, s.born)
+	s.rig.store.Put(key, value)
 }
 
 func (s *server) serve(k flowKey, f *held, h sparfake.Header, data string) {
