--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -27,9 +27,10 @@
 type play func(path string, trouble bool) (breaks int, err error)
 
 var cases = map[string]play{
-	"moved-route": movedRoute,
-	"late-syn":    lateSYN,
-	"cold-server": coldServer,
+	"moved-route":  movedRoute,
+	"late-syn":     lateSYN,
+	"cold-server":  coldServer,
+	"other-writer": otherWriter,
 }
 
 func main() {
