review: case 8, an entry that isn't UTF-8 makes a draining server ready

encoding/json replaces bytes that aren't UTF-8 without an error, so an entry of another writer that can't be read counts as one of the server. VMs open flows at a server that drains, later than drain_ms.

--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -31,6 +31,7 @@
 	"late-syn":     lateSYN,
 	"cold-server":  coldServer,
 	"other-writer": otherWriter,
+	"latin-writer": latinWriter,
 }
 
 func main() {
