--- a/review/_standin-2/client.go
+++ b/review/_standin-2/client.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	clientCount = 8
 	openTimeout = 1400 * time.Millisecond
 	// resetWindow is how far from the last acknowledgement the sequence number of a reset may be.
 	resetWindow = 76_800
@@ -72,6 +73,18 @@
 	return c, nil
 }
 
+// startClients starts the clients of a case. Their users share their addresses.
+func (r *rig) startClients() (list []*client, err error) {
+	for n := range clientCount {
+		c, err := r.startClient(n)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, c)
+	}
+	return list, nil
+}
+
 func (c *client) run() {
 	buffer := make([]byte, 2048)
 	for {
@@ -227,3 +240,17 @@
 	f.mu.Unlock()
 	_, _ = f.client.conn.WriteToUDPAddrPort(sparfake.Encode(h, []byte(data)), via.data)
 }
+
+// askOnce sends one request on a flow of its own, and records what came of it.
+func (c *client) askOnce(user int, route sparflow.Endpoint, id string, deadline time.Duration) {
+	f, err := c.openNoted(route, func(*clientFlow) {})
+	if err != nil {
+		c.rig.record.printf("user %d: %s %v", user, f.key.client, err)
+		return
+	}
+	answer, err := f.do(id, deadline)
+	c.rig.record.printf("user %d: %s request %s for %s: answer %q %v", user, f.key.client, id, route, answer, err)
+	if err == nil {
+		f.close()
+	}
+}
--- a/review/_standin-2/cold_server.go
+++ b/review/_standin-2/cold_server.go
@@ -56,13 +56,9 @@
 		olds = append(olds, s)
 	}
 	r.probe()
-	var clients []*client
-	for n := range 8 {
-		c, err := r.startClient(n)
-		if err != nil {
-			return 0, err
-		}
-		clients = append(clients, c)
+	clients, err := r.startClients()
+	if err != nil {
+		return 0, err
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
--- a/review/_standin-2/late_syn.go
+++ b/review/_standin-2/late_syn.go
@@ -58,13 +58,9 @@
 		s.opened, s.resets = run.opened, run.resets
 	}
 	r.probe()
-	var clients []*client
-	for n := range 8 {
-		c, err := r.startClient(n)
-		if err != nil {
-			return 0, err
-		}
-		clients = append(clients, c)
+	clients, err := r.startClients()
+	if err != nil {
+		return 0, err
 	}
 	time.Sleep(2 * time.Second)
 	var users sync.WaitGroup
--- a/review/_standin-2/latin_writer.go
+++ b/review/_standin-2/latin_writer.go
@@ -53,13 +53,9 @@
 		servers = append(servers, s)
 	}
 	r.probe()
-	var clients []*client
-	for n := range 8 {
-		c, err := r.startClient(n)
-		if err != nil {
-			return 0, err
-		}
-		clients = append(clients, c)
+	clients, err := r.startClients()
+	if err != nil {
+		return 0, err
 	}
 	time.Sleep(2 * time.Second)
 	go run.drainOne(r, servers[1], trouble)
@@ -69,7 +65,7 @@
 		users.Add(1)
 		go func() {
 			defer users.Done()
-			run.user(clients[n%len(clients)], n)
+			clients[n%len(clients)].askOnce(n, holdsRoute, fmt.Sprintf("hold-%d", n), writerWait)
 		}()
 		time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(time.Second) / writerUsers))
 	}
@@ -102,21 +98,6 @@
 	d.record.printf("heartbeat of i-%x: it drains", s.id)
 }
 
-// user sends one request, which may run once at most, on a flow of its own.
-func (d *drainRun) user(c *client, n int) {
-	f, err := c.openNoted(holdsRoute, func(*clientFlow) {})
-	if err != nil {
-		d.record.printf("user %d: %s %v", n, f.key.client, err)
-		return
-	}
-	id := fmt.Sprintf("hold-%d", n)
-	answer, err := f.do(id, writerWait)
-	d.record.printf("user %d: %s request %s: answer %q %v", n, f.key.client, id, answer, err)
-	if err == nil {
-		f.close()
-	}
-}
-
 // serverRan checks a request by the time at which the flow's opening packet reached the server.
 func (d *drainRun) serverRan(s *server, k flowKey, request string, h *held) {
 	d.mu.Lock()
--- a/review/_standin-2/moved_route.go
+++ b/review/_standin-2/moved_route.go
@@ -59,13 +59,9 @@
 		s.ran = run.serverRan
 	}
 	r.probe()
-	var clients []*client
-	for n := range 8 {
-		c, err := r.startClient(n)
-		if err != nil {
-			return 0, err
-		}
-		clients = append(clients, c)
+	clients, err := r.startClients()
+	if err != nil {
+		return 0, err
 	}
 	time.Sleep(2 * time.Second) // the VMs read the entries of the servers
 	leave := make(chan struct{}, 2*fullFlows)
--- a/review/_standin-2/other_writer.go
+++ b/review/_standin-2/other_writer.go
@@ -58,13 +58,9 @@
 		servers = append(servers, s)
 	}
 	r.probe()
-	var clients []*client
-	for n := range 8 {
-		c, err := r.startClient(n)
-		if err != nil {
-			return 0, err
-		}
-		clients = append(clients, c)
+	clients, err := r.startClients()
+	if err != nil {
+		return 0, err
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
@@ -103,23 +99,13 @@
 	w.record.printf("heartbeat of i-%x writes in %s: %s", s.id, key, own)
 }
 
-// user sends one request, which may run once at most, on a flow of its own. Users take turns at the two routes.
+// user sends one request, which may run once at most. Users take turns at the two routes.
 func (w *writerRun) user(c *client, n int) {
-	route, name := holdsRoute, "hold"
 	if n%4 == 3 {
-		route, name = sheetsRoute, "sheet"
-	}
-	f, err := c.openNoted(route, func(*clientFlow) {})
-	if err != nil {
-		w.record.printf("user %d: %s %v", n, f.key.client, err)
+		c.askOnce(n, sheetsRoute, fmt.Sprintf("sheet-%d", n), writerWait)
 		return
 	}
-	id := fmt.Sprintf("%s-%d", name, n)
-	answer, err := f.do(id, writerWait)
-	w.record.printf("user %d: %s request %s for %s: answer %q %v", n, f.key.client, id, route, answer, err)
-	if err == nil {
-		f.close()
-	}
+	c.askOnce(n, holdsRoute, fmt.Sprintf("hold-%d", n), writerWait)
 }
 
 // serverRan checks that the service of a server is that of the route.
