--- a/internal/operator/sparcheck/check_test.go
+++ b/internal/operator/sparcheck/check_test.go
@@ -55,10 +55,10 @@
 			[]string{"warning route a 198.18.0.1:443: never matches, route a 198.18.0.1:443 has the same address and comes later"},
 		},
 		{
-			"weights of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", map[string]int{"booking": 0} })},
+			"weights of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", sparfake.Weights{{Service: "booking"}} })},
 			[]string{"warning route a 198.18.0.1:443: takes no new flows, no target has a weight above 0"},
 		},
-		{"one weight of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", map[string]int{"booking": 0, "receipts": 1} })}, []string{}},
+		{"one weight of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", sparfake.Weights{{Service: "booking"}, {Service: "receipts", Weight: 1}} })}, []string{}},
 		{
 			"no target", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service = "" })},
 			[]string{"warning route a 198.18.0.1:443: takes no new flows, no target has a weight above 0"},
@@ -137,7 +137,7 @@
 		Version: 7, Idle: 20 * time.Second, Services: []sparfake.Service{{Name: "booking", WarmRate: 6}, {Name: "search"}},
 		Routes: []sparfake.Route{
 			{At: back + 1, Service: "search", Name: "c"},
-			{At: front, Name: "a", Once: true, Weights: map[string]int{"booking": 3, "search": 1}, Timeout: time.Second, Objective: 100 * time.Millisecond},
+			{At: front, Name: "a", Once: true, Weights: sparfake.Weights{{Service: "booking", Weight: 3}, {Service: "search", Weight: 1}}, Timeout: time.Second, Objective: 100 * time.Millisecond},
 		},
 	}
 	against := func(now, before sparfake.Document) sparcheck.Report {
