sparjson, platform, sparconfig: a text of another writer has one reading or none

Cause: encoding/json matches names whatever their case and by Unicode folding, takes the last of two equal names, and replaces bytes that aren't UTF-8. What we check of an entry came after that.

Change: sparjson decodes what others have written: names letter for letter, each once, all of it UTF-8; fields that a type lacks are passed over, or refused where they were before. It is used for servers, the configuration, VMs, documents, evacuations and settings files. VM entries may have further fields now, as those of servers. An ID with replaced bytes is that of no server; a start after the year 2200 is out of range. The check of a configuration names fields that are passed over since they are spelled in another way, and gives the line of every error.

TestOddEntries plays the new texts.

--- a/internal/operator/sparcheck/check.go
+++ b/internal/operator/sparcheck/check.go
@@ -12,8 +12,6 @@
 package sparcheck
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 
 	"github.com/juju/errors"
@@ -21,6 +19,7 @@
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparconfig"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 	"github.com/oleanderspar/oleanderspar/platform"
 )
 
@@ -140,15 +139,13 @@
 	return service{written, checked}, err
 }
 
-// withLine returns an error about the syntax of a configuration with the line that it is in. Other
-// errors name a field.
+// withLine returns an error about the text of a configuration with the line that it is in.
 func withLine(err error, text []byte) error {
-	var syntax *json.SyntaxError
-	if !errors.As(err, &syntax) {
+	var wrong *sparjson.Error
+	if !errors.As(err, &wrong) {
 		return err
 	}
-	line := 1 + bytes.Count(text[:min(syntax.Offset, int64(len(text)))], []byte("\n"))
-	return errors.Errorf("line %d: %v, expected JSON without comments", line, syntax)
+	return errors.Errorf("line %d: %v", wrong.Line(text), wrong)
 }
 
 // Worst returns the most severe level of the findings, Change if there are none.
--- a/internal/operator/sparcheck/check_test.go
+++ b/internal/operator/sparcheck/check_test.go
@@ -20,15 +20,20 @@
 // assertFindings checks that a report has exactly these findings.
 func assertFindings(t *testing.T, r sparcheck.Report, want ...string) {
 	t.Helper()
-	got := []string{}
-	for _, f := range r.Findings {
-		got = append(got, fmt.Sprintf("%s %s: %s", f.Level, f.Where, f.Text))
-	}
-	if !slices.Equal(got, want) {
+	if got := lines(r); !slices.Equal(got, want) {
 		t.Errorf("findings\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
 	}
 }
 
+// lines returns the findings of a report as text.
+func lines(r sparcheck.Report) []string {
+	list := []string{}
+	for _, f := range r.Findings {
+		list = append(list, fmt.Sprintf("%s %s: %s", f.Level, f.Where, f.Text))
+	}
+	return list
+}
+
 // TestConfiguration covers what an operator may get wrong in the document of all routes: what VMs
 // leave out, what never matches, and limits that contradict each other.
 func TestConfiguration(t *testing.T) {
@@ -58,7 +63,9 @@
 			"weights of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", sparfake.Weights{{Service: "booking"}} })},
 			[]string{"warning route a 198.18.0.1:443: takes no new flows, no target has a weight above 0"},
 		},
-		{"one weight of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service, r.Weights = "", sparfake.Weights{{Service: "booking"}, {Service: "receipts", Weight: 1}} })}, []string{}},
+		{"one weight of 0", sparfake.Document{Routes: route(func(r *sparfake.Route) {
+			r.Service, r.Weights = "", sparfake.Weights{{Service: "booking"}, {Service: "receipts", Weight: 1}}
+		})}, []string{}},
 		{
 			"no target", sparfake.Document{Routes: route(func(r *sparfake.Route) { r.Service = "" })},
 			[]string{"warning route a 198.18.0.1:443: takes no new flows, no target has a weight above 0"},
@@ -126,6 +133,34 @@
 	assertFindings(t, r, "warning routes: none, new flows are refused everywhere")
 }
 
+// TestNamesOfConfiguration guards against a check that finds nothing wrong with names and bytes of which VMs
+// make something else than the operator.
+func TestNamesOfConfiguration(t *testing.T) {
+	text := string(sparfake.Document{Version: 3, Routes: []sparfake.Route{{At: front, Service: "booking", Name: "a"}}}.Text())
+	for old, c := range map[string][2]string{
+		`"routes"`:            {`"ROUTES"`, `error configuration: "ROUTES" is passed over, expected routes`},
+		`"service":"booking"`: {`"service":"booking","Priority":1`, `error route a: "Priority" is passed over, expected priority`},
+	} {
+		r, err := sparcheck.Check([]byte(strings.Replace(text, old, c[0], 1)))
+		if err != nil || r.Worst() != sparcheck.Error || !slices.Contains(lines(r), c[1]) {
+			t.Errorf("%s: findings %v, error %v, want %s", c[0], lines(r), err, c[1])
+		}
+	}
+	for name, c := range map[string]struct{ old, with, want string }{
+		"all in capitals": {"", "", "no version"},
+		"name twice":      {"{", "{\n\"version\":2,\n", "line 3: version: named more than once"},
+		"Latin-1":         {`"name":"a"`, "\n\"name\":\"\xe4\"", "line 2: routes.name: text that isn't UTF-8"},
+	} {
+		written := strings.ToUpper(text)
+		if c.old != "" {
+			written = strings.Replace(text, c.old, c.with, 1)
+		}
+		if _, err := sparcheck.Check([]byte(written)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %s", name, err, c.want)
+		}
+	}
+}
+
 // TestConfigurationAgainst covers what differs from the version in force, and versions that VMs pass
 // over.
 func TestConfigurationAgainst(t *testing.T) {
--- a/internal/settings/sparconfig/config_test.go
+++ b/internal/settings/sparconfig/config_test.go
@@ -119,6 +119,35 @@
 
 // TestParsingLeavesTheText guards against comments that vanish from an entry of a registry when it is
 // parsed: the entry is shared, and one read again would count as another value.
+// TestNamesOfOtherWriters guards against values that VMs of this version take for one that names its fields
+// in other letters, or twice, and against entries of a later version that has added fields.
+func TestNamesOfOtherWriters(t *testing.T) {
+	const text = `{"domain": "north", "data": "10.0.0.1:1", "control": "10.0.0.1:2", "state": "live", "more": 1}`
+	if v, err := sparconfig.ParseVM("vm-1", []byte(text)); err != nil || v.Domain != "north" || v.State != sparconfig.Live {
+		t.Errorf("%+v, error %v", v, err)
+	}
+	if v, err := sparconfig.ParseVM("vm-1", []byte(strings.Replace(text, `"more"`, `"State"`, 1))); err != nil || v.State != sparconfig.Live {
+		t.Errorf("a further field in other letters: %+v, error %v", v, err)
+	}
+	for name, replace := range map[string][2]string{
+		"capitals": {`"data"`, `"DATA"`}, "long s and others": {`"control"`, `"CONTROL"`}, "twice": {`"more": 1`, `"state": "leaving"`},
+		"Latin-1": {`"more": 1`, "\"more\": \"\xe9\""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if v, err := sparconfig.ParseVM("vm-1", []byte(strings.Replace(text, replace[0], replace[1], 1))); err == nil {
+				t.Errorf("a VM %+v", v)
+			}
+			document := strings.NewReplacer(`"address"`, `"ADDRESS"`).Replace(goodDocument)
+			if _, err := sparconfig.ParseDocument([]byte(document)); err == nil {
+				t.Error("a document")
+			}
+		})
+	}
+	if d, _ := sparconfig.ReadEvacuation([]byte(`{"ENDED": true}`)); d.Ended {
+		t.Error("an evacuation ended by a field of another name")
+	}
+}
+
 func TestParsingLeavesTheText(t *testing.T) {
 	const text = `{"domain": "north", /* ours */ "data": "10.0.0.1:1", "control": "10.0.0.1:2", "state": "live",} // end` + "\n"
 	value := []byte(text)
--- a/internal/settings/sparconfig/document.go
+++ b/internal/settings/sparconfig/document.go
@@ -6,6 +6,7 @@
 
 	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 )
 
 // MaxWrites is the number of latest writes whose IDs a document keeps.
@@ -38,7 +39,7 @@
 // ParseDocument parses and checks a service document. Errors name the line of a syntax
 // error, or the path of a field, and what was expected.
 func ParseDocument(text []byte) (d Document, err error) {
-	if err := decode(text, &d); err != nil {
+	if d, err = ReadDocument(text); err != nil {
 		return Document{}, err
 	}
 	if _, err := d.Service("check/check", sparregistry.Position{}); err != nil {
@@ -49,8 +50,7 @@
 
 // ReadDocument parses a stored document without checking its rules.
 func ReadDocument(text []byte) (d Document, err error) {
-	err = decode(text, &d)
-	return d, err
+	return decode(text, sparjson.DecodeKnown[Document])
 }
 
 // Claims returns the platform keys of the claims on all addresses that d uses.
--- a/internal/settings/sparconfig/evacuation.go
+++ b/internal/settings/sparconfig/evacuation.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 )
 
 const (
@@ -49,10 +50,7 @@
 // has asked for something, and an evacuation does less harm than new flows in a domain that is
 // about to stop.
 func ReadEvacuation(value []byte) (d EvacuationDocument, err error) {
-	if err := decode(value, &d); err != nil {
-		return EvacuationDocument{}, err
-	}
-	return d, nil
+	return decode(value, sparjson.DecodeKnown[EvacuationDocument])
 }
 
 // readEvacuations adds the evacuations of r to s. A key that names no possible domain is a problem.
--- a/internal/settings/sparconfig/figure.go
+++ b/internal/settings/sparconfig/figure.go
@@ -1,13 +1,13 @@
 package sparconfig
 
 import (
-	"encoding/json"
 	"math"
-	"reflect"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 )
 
 // maxPlain is the largest figure that is written without an exponent.
@@ -20,19 +20,14 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (n *Figure) UnmarshalJSON(text []byte) (err error) {
-	var value any
-	if err := json.Unmarshal(text, &value); err != nil {
-		return err
-	}
-	switch value := value.(type) {
-	case float64:
-		*n = Figure(value)
-	case bool, nil:
+	switch string(text) {
+	case "true", "false", "null":
 		*n = 0
-	default:
-		return &json.UnmarshalTypeError{Value: Shorten(string(text)), Type: reflect.TypeFor[float64]()} // the decoder adds the field
+		return nil
 	}
-	return nil
+	value, err := sparjson.ParseNumber(text)
+	*n = Figure(value)
+	return err
 }
 
 // duration returns the figure as a number of units.
--- a/internal/settings/sparconfig/file.go
+++ b/internal/settings/sparconfig/file.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 )
 
 // File is the settings file of one entry VM. Fields marked geneve or cookie are refused
@@ -101,7 +103,7 @@
 
 // ParseFile parses and checks the text of a settings file.
 func ParseFile(text []byte) (f File, err error) {
-	if err := decode(text, &f); err != nil {
+	if f, err = decode(text, sparjson.DecodeKnown[File]); err != nil {
 		return File{}, err
 	}
 	f = f.withDefaults()
--- a/internal/settings/sparconfig/snapshot.go
+++ b/internal/settings/sparconfig/snapshot.go
@@ -113,8 +113,8 @@
 // parseService returns the service of the document in e, or nil if the document is marked
 // as removed.
 func parseService(r sparregistry.Registry, name string, e sparregistry.Entry) (service *Service, err error) {
-	var d Document
-	if err := decode(e.Value, &d); err != nil {
+	d, err := ReadDocument(e.Value)
+	if err != nil {
 		return nil, err
 	}
 	if d.Removed {
--- a/internal/settings/sparconfig/vm.go
+++ b/internal/settings/sparconfig/vm.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparregistry"
+	"github.com/oleanderspar/oleanderspar/internal/wire/sparjson"
 )
 
 const (
@@ -37,9 +38,10 @@
 	return text
 }
 
-// ParseVM parses the entry of the VM called name.
+// ParseVM parses the entry of the VM called name. It passes over fields that a later version has
+// added.
 func ParseVM(name string, text []byte) (v VM, err error) {
-	if err := decode(text, &v); err != nil {
+	if v, err = decode(text, sparjson.Decode[VM]); err != nil {
 		return VM{}, err
 	}
 	v.Name = name
