platform, sparregistry: an entry that can't be used has no order of its own

Cause: after a restore of the store, values of a key are ordered by what their writers say (start, sequence, version). An entry that says no order counted as older than all: a server drains, another writer leaves bytes for it, the store comes back from a copy, and its "ready" of before replaced them.

A value without a stamp gets that of the value that it replaces, as deletions did.

--- a/internal/settings/sparregistry/registry.go
+++ b/internal/settings/sparregistry/registry.go
@@ -94,7 +94,8 @@
 }
 
 // merge keeps the entry of each key that replaces the other. It does not change the position
-// of r. A deletion gets the stamp of what it deletes.
+// of r. A deletion gets the stamp of what it deletes, and a value that names none that of the value
+// that it replaces: after a restore, an older value of the writer is older than both.
 func (r Registry) merge(entries []Entry) Registry {
 	next := r
 	copied := false
@@ -110,6 +111,9 @@
 			next.entries = cloneEntries(r.entries)
 			copied = true
 		}
+		if e.Stamp == (Stamp{}) {
+			e.Stamp = old.Stamp
+		}
 		next.digest ^= digest(old) ^ digest(e)
 		next.entries[e.Key] = e
 	}
--- a/internal/settings/sparregistry/restore_test.go
+++ b/internal/settings/sparregistry/restore_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// TestUnreadableValueBeforeRestore guards against a restored platform that shows again what its writer has
+// replaced, because a value that names no stamp was written in between.
+func TestUnreadableValueBeforeRestore(t *testing.T) {
+	entry := func(value string, at sparregistry.Position, stamp sparregistry.Stamp) sparregistry.Entry {
+		return sparregistry.Entry{Key: "a", Value: []byte(value), Era: at.Era, Revision: at.Revision, Stamp: stamp}
+	}
+	said := func(count uint64) sparregistry.Stamp { return sparregistry.Stamp{Start: 5, Count: count} }
+	r := sparregistry.Registry{}.WithFullRead(nil, era(1, 1)).With(
+		entry("ready", era(1, 4), said(1)), entry("draining", era(1, 6), said(2)), entry("\xff", era(1, 8), sparregistry.Stamp{}))
+	steps := []struct {
+		name string
+		read sparregistry.Entry
+		want string
+	}{
+		{"the copy", entry("ready", era(2, 4), said(1)), "\xff"},
+		{"the writer again", entry("draining", era(2, 7), said(2)), "draining"},
+	}
+	for _, step := range steps {
+		r = r.WithRestoredRead([]sparregistry.Entry{step.read}, era(2, 8), true)
+		if got := value(r, "a"); got != step.want {
+			t.Fatalf("value %q after %s, want %q", got, step.name, step.want)
+		}
+	}
+}
+
 func value(r sparregistry.Registry, key string) string {
 	e, _ := r.Get(key)
 	if e.Deleted {
