sparroster: several entries with one ID

Cause: an upstream is known by the digits at the end of its key. Another writer may leave an entry under another key with the same digits. One that can't be used made the upstream unusable: no new flows while it lay there.

Change: an entry that can't be used says nothing about an ID that has one which can. If several can be used and differ, nothing tells which is right: the ID takes no new flows, its flows stay, and the problem is listed.

Ruled out: the earlier, the later or the one held before: each may be that of the other writer.

The decoder of TestUnchangedEntriesAreNotDecodedAgain gives each key an ID of its own; what it checks is the same.

--- a/internal/settings/sparroster/fact.go
+++ b/internal/settings/sparroster/fact.go
@@ -104,6 +104,12 @@
 	return Service{}
 }
 
+// Names reports whether the configuration names a service, as a target of a route or by itself.
+func (r Routing) Names(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s Service) bool { return s.Name == service }) ||
+		slices.ContainsFunc(r.Routes, func(route Route) bool { return route.HasTarget(service) })
+}
+
 // HasTarget reports whether the service is a target of the route, whatever its weight.
 func (r Route) HasTarget(service string) bool {
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -12,7 +12,6 @@
 package sparroster
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -98,7 +97,7 @@
 	for _, route := range next.Routing.Routes {
 		next.routes[route.Address] = route
 	}
-	slices.SortFunc(next.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	next.settleIDs()
 	slices.SortFunc(next.VMs, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
 	return next
 }
