sparcookie: a known upstream whose entry names a service that the configuration doesn't

Cause: such an entry was taken as the upstream's own. Its open flows went to the address in the entry, or were dropped as of another service, and an upstream that drained no longer did.

Change: while the configuration does not name the service, a known upstream keeps what it was and takes no new flows. One that this VM never knew is listed as before: a configuration may name its service later.

Test: TestEntryOfUnnamedService fails on: "verdict forward carried at 10.0.0.255:9 on an open flow".

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -174,11 +174,15 @@
 	Healthy  bool // its health allows new flows
 }
 
-// UpstreamStates returns the state of each upstream in the roster, in the order of the roster.
+// UpstreamStates returns the state of each upstream in the roster whose entry can be used, in the order of
+// the roster.
 func (e *Engine) UpstreamStates() []UpstreamState {
 	states := make([]UpstreamState, 0, len(e.roster.Upstreams))
 	for _, entry := range e.roster.Upstreams {
 		u := e.upstreams[entry.ID]
+		if u.unusable {
+			continue
+		}
 		states = append(states, UpstreamState{Upstream: entry, Flows: u.load.flows, Healthy: u.health.AcceptsFlows()})
 	}
 	return states
--- a/internal/route/sparcookie/forward_test.go
+++ b/internal/route/sparcookie/forward_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
@@ -195,6 +196,36 @@
 	}
 }
 
+// TestEntryOfUnnamedService guards against flows that are cut off, or new ones at an upstream that drains,
+// because another writer has left an entry for it with a service that the configuration doesn't name.
+func TestEntryOfUnnamedService(t *testing.T) {
+	f := newFixture(t)
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.ackHandshake()
+	f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = true })
+	own := f.upstreams[c.upstream-1]
+	f.edit(c.upstream, func(u *sparroster.Upstream) {
+		u.Service, u.Draining, u.At = "no-such-service", false, sparflow.MakeEndpoint(0x0a0000ff, 9)
+	})
+	if states := f.engine.UpstreamStates(); len(states) != 5 {
+		t.Errorf("%d upstreams, want the 5 others", len(states))
+	}
+	if v := c.request(); v.Action != sparcookie.ToUpstream || v.ID != c.upstream || v.At != own.At {
+		t.Errorf("verdict %v %v at %v on an open flow, want its upstream at %v", v.Action, v.Cause, v.At, own.At)
+	}
+	for range 20 {
+		if v := f.newClient(bookingAddr).open(); v.ID == c.upstream || v.Action != sparcookie.ToUpstream {
+			t.Fatalf("verdict %v %v on a new flow, want another upstream", v.Action, v.Cause)
+		}
+	}
+	f.routes = append(f.routes, sparroster.Route{Address: bookingAddr + 100, Targets: []sparroster.Target{{Service: "no-such-service", Weight: 1}}})
+	f.apply()
+	if states := f.engine.UpstreamStates(); len(states) != 6 {
+		t.Errorf("%d upstreams once the service is named, want all 6", len(states))
+	}
+}
+
 func TestReorderedPacketIsNoRetransmit(t *testing.T) {
 	f := newFixture(t)
 	c := f.newClient(bookingAddr)
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -74,6 +74,9 @@
 	clear(e.pools)
 	for _, entry := range r.Upstreams {
 		inRoster[entry.ID] = true
+		if e.movedAway(entry) && e.keepUnusable(entry.ID) {
+			continue
+		}
 		e.addToPool(e.applyEntry(entry))
 	}
 	for _, entry := range r.Unusable {
@@ -117,6 +120,13 @@
 	return u
 }
 
+// movedAway reports whether an entry says that a known upstream is of another service now, and the
+// configuration doesn't name that one: another writer has left the entry.
+func (e *Engine) movedAway(entry sparroster.Upstream) bool {
+	u := e.upstreams[entry.ID]
+	return u != nil && u.Service != entry.Service && !e.roster.Routing.Names(entry.Service)
+}
+
 // keepUnusable keeps a known upstream whose entry can't be used: it takes no new flows, but its
 // flows stay. It reports whether there is such an upstream.
 func (e *Engine) keepUnusable(id uint64) bool {
