sparcookie: a copy of a SYN is placed by the settings in force

Cause: a copy went to the upstream of the first SYN while that answered anyone. Of what rules out an upstream for new flows only evacuations, verdicts of silence and quotas were asked again. A hedge took its second upstream from the service of the first, whatever the route.

Change: mayOpen asks all of it: the targets of the route, their weights, drains, removals, unusable entries, evacuations, verdicts. If no other upstream takes the copy, it is reset like a first SYN.

--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -74,13 +74,13 @@
 
 // forwardRetransmittedSYN returns the verdict on a retransmitted SYN that has had no
 // response. If its upstream has answered other clients meanwhile, a packet was lost and
-// the SYN goes to the same upstream. Otherwise it goes to another one, if there is one.
-// The flow opens at the first upstream whose SYN-ACK the client acknowledges.
+// the SYN goes to the same upstream, if the settings in force allow that by now. Otherwise it goes to
+// another one, if there is one. The flow opens at the first upstream whose SYN-ACK the client acknowledges.
 func (e *Engine) forwardRetransmittedSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	f.lastSeen = e.now
 	e.noteCopy(f)
-	if u.evacuated || e.gone(u) || e.outOfQuota(u) {
+	if !e.mayOpen(rec, u) || e.outOfQuota(u) {
 		return e.moveSYN(rec, key, f)
 	}
 	if e.now-f.lastProgress < minRetransmitAge || u.lastResponse > f.lastProgress {
@@ -90,12 +90,18 @@
 	return e.moveSYN(rec, key, f)
 }
 
+// mayOpen reports whether new flows of a route may go to u: the route has its service, the settings let it
+// take new flows, and it is not gone.
+func (e *Engine) mayOpen(rec *routeRecord, u *upstream) bool {
+	return rec.route.Takes(u.Service) && e.takesFlows(u) && !e.gone(u)
+}
+
 // moveSYN sends a retransmitted SYN to another upstream than that of its record. If no other one
-// takes it, it goes to the same one, unless that was evacuated meanwhile or is gone.
+// takes it, it goes to the same one, unless that may have no new flows of the route any more.
 func (e *Engine) moveSYN(rec *routeRecord, key flowKey, f *flow) Verdict {
 	u := f.upstream
 	other := e.choose(rec, key, u)
-	if other == nil && (u.evacuated || e.gone(u)) {
+	if other == nil && !e.mayOpen(rec, u) {
 		e.forget(key)
 		return e.reset(NoUpstream, nil)
 	}
--- a/internal/route/sparcookie/hedge.go
+++ b/internal/route/sparcookie/hedge.go
@@ -166,7 +166,7 @@
 // hedge decides on an opening that is due.
 func (e *Engine) hedge(item sparhedge.Item[flowKey], f *flow) {
 	rec := e.routes[item.Key.service]
-	if rec == nil || !rec.live || !rec.route.Repeatable {
+	if rec == nil || !rec.live || !rec.route.Repeatable || !rec.route.Takes(f.upstream.Service) {
 		return // changed meanwhile
 	}
 	h := e.hedges
--- a/internal/route/sparcookie/hedge_test.go
+++ b/internal/route/sparcookie/hedge_test.go
@@ -264,3 +264,16 @@
 		t.Errorf("hedges of an opening at %d: %+v, want one to another domain", c.upstream, due)
 	}
 }
+
+// TestHedgeFollowsSettings guards against a hedge at another upstream of a service that the route has left
+// since the SYN.
+func TestHedgeFollowsSettings(t *testing.T) {
+	f := newHedgingFixture(t)
+	f.newClient(bookingAddr).open()
+	f.routes[0].Targets[0].Service = receipts
+	f.apply()
+	f.wait(hedgeDelay)
+	if due := f.engine.DueHedges(); len(due) != 0 {
+		t.Errorf("hedged: %+v", due)
+	}
+}
--- a/internal/settings/sparroster/fact.go
+++ b/internal/settings/sparroster/fact.go
@@ -115,5 +115,10 @@
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
 }
 
+// Takes reports whether new flows of the route may go to the service.
+func (r Route) Takes(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // ErrUnknownKey is returned by a Decoder for a key of a kind that it does not support.
 const ErrUnknownKey = errors.ConstError("no such kind of key")
