sparcookie: SYNs that waited for a long pause of the VM are dropped

Cause: SYNs that waited in the socket were placed as new ones, at another upstream, whose answer changes the cookie that the client repeats. The VM knew of its pause and used that for evidence alone.

Ruled out: a reset in place of the drop (it ends the flow too), and a drop after any pause (below 500 ms no other VM gets the copies).

Change: after 500 ms or more without a check, SYNs are dropped for 300 ms, the time that a VM has to catch up.

--- a/internal/route/sparcookie/engine.go
+++ b/internal/route/sparcookie/engine.go
@@ -60,10 +60,11 @@
 		maxFlows  int
 		lastSweep time.Duration // last deletion of expired records
 
-		openings  []opening     // SYNs whose response is not yet due, oldest first
-		checkedAt time.Duration // last check of openings
-		pausedAt  time.Duration // end of the last pause of this VM
-		distrust  bool          // set by assess, for one service: suspect failure domains are avoided, unless all are suspect
+		openings   []opening     // SYNs whose response is not yet due, oldest first
+		checkedAt  time.Duration // last check of openings
+		pausedAt   time.Duration // end of the last pause of this VM
+		staleUntil time.Duration // until when SYNs may have waited for the end of a long pause
+		distrust   bool          // set by assess, for one service: suspect failure domains are avoided, unless all are suspect
 
 		observing observing
 		asking    asking
--- a/internal/route/sparcookie/forward.go
+++ b/internal/route/sparcookie/forward.go
@@ -36,8 +36,13 @@
 	return e.forwardInFlow(rec, s)
 }
 
-// forwardSYN returns the verdict on a SYN.
+// forwardSYN returns the verdict on a SYN. One that may have waited here while its client opened the flow
+// through another VM gets no answer, neither of an upstream nor of this VM: a client that still waits
+// sends it again.
 func (e *Engine) forwardSYN(rec *routeRecord, s Segment) Verdict {
+	if e.now < e.staleUntil {
+		return e.drop(Stale)
+	}
 	if rec == nil || !rec.live {
 		if !e.fresh {
 			return e.drop(NotFresh)
--- a/internal/route/sparcookie/opening.go
+++ b/internal/route/sparcookie/opening.go
@@ -9,6 +9,10 @@
 	// catchUpTime is how long this VM needs after its start or a pause to handle the packets that
 	// arrived meanwhile: responses, and SYNs whose clients may have given up.
 	catchUpTime = 300 * time.Millisecond
+	// stalePause is the time since the last check of openings from which on SYNs that waited meanwhile may be
+	// of flows that are open elsewhere: the fabric takes a VM out of rotation after two probes without an
+	// answer, 500 ms apart, and other VMs get the copies.
+	stalePause = 500 * time.Millisecond
 	// maxOpenings bounds the SYNs that wait for synAckTimeout: those of 5,000 new flows a second.
 	maxOpenings = 256
 )
@@ -35,9 +39,12 @@
 
 // checkOpenings notes the SYNs whose response has become due and has not arrived.
 func (e *Engine) checkOpenings() {
-	if e.now-e.checkedAt >= pauseLimit {
+	if pause := e.now - e.checkedAt; pause >= pauseLimit {
 		e.openings = e.openings[:0]
 		e.pausedAt = e.now
+		if pause >= stalePause && e.checkedAt > 0 {
+			e.staleUntil = e.now + catchUpTime
+		}
 	}
 	e.checkedAt = e.now
 	due := 0
--- a/internal/route/sparcookie/verdict.go
+++ b/internal/route/sparcookie/verdict.go
@@ -45,6 +45,7 @@
 	Hedged                     // a SYN without an answer, also sent to a second upstream
 	WarmLimit                  // only upstreams whose openings are limited are left, and this VM may send them none now
 	Overloaded                 // the service is overloaded; less urgent flows are refused first
+	Stale                      // a SYN that may have waited during a pause of this VM
 	causeCount
 )
 
@@ -149,7 +150,7 @@
 
 var causeNames = [causeCount]string{
 	"carried", "placed", "repeated", "moved", "no-route", "route-dropped", "no-upstream", "unknown-cookie",
-	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged", "warm-limit", "overloaded",
+	"wrong-service", "upstream-gone", "assisted", "relayed", "not-fresh", "hedged", "warm-limit", "overloaded", "stale",
 }
 
 // String returns the cause as written in logs and metrics.
