sparcookie, platform: repeated data stays at the upstream that works on it

Cause: a SYN and its copy went to two upstreams; the answer of the slow one came after the request, and the client repeats the request with its cookie. The VM with the record left repeated data out of what stays at the flow's upstream. Besides, the copy of the request that goes through another VM had the client's cookie, and that VM has no record.

Change: repeated data follows its cookie only if the upstream of the record was removed, or no VM reaches it. MarkRelayed writes the cookie of the upstream.

TestMarkRelayed asks for the cookie too.

--- a/internal/route/sparcookie/race.go
+++ b/internal/route/sparcookie/race.go
@@ -32,9 +32,9 @@
 // settleRace returns the upstream of a flow whose packet s has the cookie of u. A SYN may have gone to
 // several upstreams, by a hedge or by copies that moved. The first packet after it has the cookie of the SYN-ACK
 // that the client has taken, and the flow is at that upstream. The client may put the cookie of a SYN-ACK that
-// comes later into its packets; while their acknowledgement is the same, they belong to the flow all the same.
-// Data that it repeats after a copy has moved follows its cookie: nobody has acknowledged it, so the
-// first packet seen here may not have been the first one sent.
+// comes later into its packets; while their acknowledgement is the same, they belong to the flow all the same,
+// also data that it repeats, as the upstream may be at work on it. Only if that upstream is no longer there do
+// they follow their cookie.
 func (e *Engine) settleRace(f *flow, u *upstream, s Segment) *upstream {
 	switch {
 	case f == nil:
@@ -45,12 +45,15 @@
 			e.openElsewhere(f, u)
 		}
 		return u
-	case f.hedge.rival == u, f.hedge.settled && s.Ack == f.ack && !f.repeats(s):
+	case f.hedge.rival == u, f.hedge.settled && s.Ack == f.ack && !e.hasLeft(f.upstream):
 		return f.upstream
 	}
 	return u
 }
 
+// hasLeft reports whether u was removed, or the verdict is in force that no VM reaches it.
+func (e *Engine) hasLeft(u *upstream) bool { return u.removed || e.gone(u) }
+
 // openElsewhere records that the client of f has taken the SYN-ACK of u, and not that of the upstream
 // that its last SYN went to.
 func (e *Engine) openElsewhere(f *flow, u *upstream) {
@@ -71,11 +74,6 @@
 	}
 }
 
-// repeats reports whether s has data that this VM has seen.
-func (f *flow) repeats(s Segment) bool {
-	return s.Size > 0 && !seqAfter(s.Seq+uint32(s.Size), f.nextSeq)
-}
-
 // noteLostRace records that the client has taken the SYN-ACK of another upstream than u for a SYN that
 // went to u at a time. Its packets don't show whether u has sent one too, so a single SYN is no evidence
 // against u.
--- a/internal/route/sparcookie/race_test.go
+++ b/internal/route/sparcookie/race_test.go
@@ -61,15 +61,39 @@
 	}
 }
 
+// TestRepeatedRequestStays guards against a reset of a flow whose upstream works on the request: the SYN-ACK of
+// the upstream that lost comes late, and the client puts its cookie into the data that it repeats.
+func TestRepeatedRequestStays(t *testing.T) {
+	for _, firstWins := range []bool{true, false} {
+		f := newFixture(t)
+		c := f.newClient(bookingAddr)
+		winner, loser := f.moved(c)
+		if !firstWins {
+			winner, loser = loser, winner
+		}
+		c.takes(winner.Cookie)
+		c.request()
+		c.s.Cookie = loser.Cookie
+		for range 5 {
+			f.wait(retransmitAfter)
+			if v := c.request(); v.ID != winner.ID || v.Cookie != winner.Cookie {
+				t.Errorf("first wins %v: sent to %d, want %d", firstWins, v.ID, winner.ID)
+			}
+		}
+	}
+}
+
 // TestRepeatedRequestFollowsItsCookie covers a flow whose first packet seen here was not the first one of
-// the client, so that its cookie is that of the upstream that lost: data that the client repeats, since
-// nobody acknowledges it, goes to the upstream of the cookie that it has by then.
+// the client, so that its cookie is that of the upstream that lost: once that one has left, data that the
+// client repeats goes to the upstream of the cookie that it has by then.
 func TestRepeatedRequestFollowsItsCookie(t *testing.T) {
 	f := newFixture(t)
 	c := f.newClient(bookingAddr)
 	loser, winner := f.moved(c)
 	c.takes(loser.Cookie)
 	c.request()
+	f.remove(loser.ID)
+	f.apply()
 	f.wait(retransmitAfter)
 	c.s.Cookie = winner.Cookie
 	if v := c.request(); v.ID != winner.ID {
--- a/internal/vm/sparentry/packets.go
+++ b/internal/vm/sparentry/packets.go
@@ -86,7 +86,7 @@
 	switch v.Action {
 	case sparcookie.ToUpstream:
 		if v.Relay != 0 {
-			platform.MarkRelayed(p.bytes())
+			platform.MarkRelayed(p.bytes(), v.Cookie)
 			vm.send(p.bytes(), v.Relay)
 			if v.Second != 0 {
 				vm.send(p.bytes(), v.Second)
