sparjson, sparroster, sparcookie: names, and values cut to a length in every error

Cause: read as a newcomer. A number of a megabyte in the place of a text stood whole in the error; kinds of values had names that the parameters of functions have too; two tests chose the winner of a race in the same lines.

Test: TestErrors, two more cases.

--- a/internal/route/sparcookie/race_test.go
+++ b/internal/route/sparcookie/race_test.go
@@ -17,16 +17,23 @@
 	return first, second
 }
 
+// raced opens a flow as moved does, and returns the upstream that wins first.
+func (f *fixture) raced(c *client, firstWins bool) (winner, loser sparcookie.Verdict) {
+	f.t.Helper()
+	first, second := f.moved(c)
+	if firstWins {
+		return first, second
+	}
+	return second, first
+}
+
 // TestBothUpstreamsOfACopyAnswer covers a SYN whose first upstream answers after the copy has moved: the
 // client takes that SYN-ACK, gets the other one as well, and puts its cookie into the packets that follow.
 func TestBothUpstreamsOfACopyAnswer(t *testing.T) {
 	for _, firstWins := range []bool{true, false} {
 		f := newFixture(t)
 		c := f.newClient(bookingAddr)
-		winner, loser := f.moved(c)
-		if !firstWins {
-			winner, loser = loser, winner
-		}
+		winner, loser := f.raced(c, firstWins)
 		wantUpstream := func(what string, v sparcookie.Verdict) {
 			t.Helper()
 			if v.ID != winner.ID || v.Cookie != winner.Cookie {
@@ -67,10 +74,7 @@
 	for _, firstWins := range []bool{true, false} {
 		f := newFixture(t)
 		c := f.newClient(bookingAddr)
-		winner, loser := f.moved(c)
-		if !firstWins {
-			winner, loser = loser, winner
-		}
+		winner, loser := f.raced(c, firstWins)
 		c.takes(winner.Cookie)
 		c.request()
 		c.s.Cookie = loser.Cookie
--- a/internal/route/sparcookie/upstream.go
+++ b/internal/route/sparcookie/upstream.go
@@ -74,7 +74,7 @@
 	clear(e.pools)
 	for _, entry := range r.Upstreams {
 		inRoster[entry.ID] = true
-		if e.movedAway(entry) && e.keepUnusable(entry.ID) {
+		if e.namesUnknownService(entry) && e.keepUnusable(entry.ID) {
 			continue
 		}
 		e.addToPool(e.applyEntry(entry))
@@ -120,9 +120,9 @@
 	return u
 }
 
-// movedAway reports whether an entry says that a known upstream is of another service now, and the
+// namesUnknownService reports whether an entry says that a known upstream is of another service now, and the
 // configuration doesn't name that one: another writer has left the entry.
-func (e *Engine) movedAway(entry sparroster.Upstream) bool {
+func (e *Engine) namesUnknownService(entry sparroster.Upstream) bool {
 	u := e.upstreams[entry.ID]
 	return u != nil && u.Service != entry.Service && !e.roster.Routing.Names(entry.Service)
 }
--- a/internal/settings/sparroster/identity.go
+++ b/internal/settings/sparroster/identity.go
@@ -6,11 +6,11 @@
 	"slices"
 )
 
-// settleIDs puts the upstreams in the order of their IDs, each ID once. The entries of other writers may
+// resolveIDs puts the upstreams in the order of their IDs, each ID once. The entries of other writers may
 // have the ID of an upstream under keys of their own. One that can't be used says nothing about the
 // upstream. If several can be used and differ, nothing tells which one is right, and the ID takes no new
 // flows.
-func (r *Roster) settleIDs() {
+func (r *Roster) resolveIDs() {
 	slices.SortStableFunc(r.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	upstreams, doubtful := r.Upstreams[:0], []Unusable{}
 	for group := range groupByID(r.Upstreams) {
--- a/internal/settings/sparroster/roster.go
+++ b/internal/settings/sparroster/roster.go
@@ -97,7 +97,7 @@
 	for _, route := range next.Routing.Routes {
 		next.routes[route.Address] = route
 	}
-	next.settleIDs()
+	next.resolveIDs()
 	slices.SortFunc(next.VMs, func(a, b sparconfig.VM) int { return strings.Compare(a.Name, b.Name) })
 	return next
 }
--- a/internal/wire/sparjson/error.go
+++ b/internal/wire/sparjson/error.go
@@ -19,10 +19,11 @@
 	// WholeNumber is the kind of a number without a fraction.
 	WholeNumber Kind = "a whole number"
 
-	text    Kind = "a string"
-	list    Kind = "a list"
-	object  Kind = "an object"
-	boolean Kind = "true or false"
+	stringKind Kind = "a string"
+	listKind   Kind = "a list"
+	objectKind Kind = "an object"
+	boolKind   Kind = "true or false"
+	otherKind  Kind = "another value"
 )
 
 type (
@@ -60,10 +61,10 @@
 func (e *KindError) Error() string { return fmt.Sprintf("%s, expected %s", e.Value, e.Want) }
 
 // newError translates an error of the library about a text.
-func newError(err error, of []byte) error {
+func newError(err error, source []byte) error {
 	var syntax *jsontext.SyntacticError
 	if errors.As(err, &syntax) {
-		return syntaxError(syntax, of)
+		return syntaxError(syntax, source)
 	}
 	var meaning *json.SemanticError
 	if !errors.As(err, &meaning) {
@@ -82,12 +83,12 @@
 	return e
 }
 
-func syntaxError(err *jsontext.SyntacticError, of []byte) *Error {
+func syntaxError(err *jsontext.SyntacticError, source []byte) *Error {
 	e := &Error{Field: fieldOf(err.JSONPointer), Offset: err.ByteOffset}
 	switch {
 	case errors.Is(err, jsontext.ErrDuplicateName):
 		e.Cause = "named more than once"
-	case !utf8.Valid(of):
+	case !utf8.Valid(source):
 		e.Cause = "text that isn't UTF-8"
 	default:
 		e.Cause = strings.TrimPrefix(err.Err.Error(), "jsontext: ") + ", expected JSON without comments"
@@ -109,41 +110,41 @@
 // valueOf returns the value that has the wrong kind, or its kind if that says enough.
 func valueOf(err *json.SemanticError) string {
 	if len(err.JSONValue) > 0 {
-		return string(err.JSONValue)
+		return shorten(err.JSONValue)
 	}
 	switch err.JSONKind {
 	case '"':
-		return string(text)
+		return string(stringKind)
 	case '0':
 		return string(Number)
 	case '[':
-		return string(list)
+		return string(listKind)
 	case '{':
-		return string(object)
+		return string(objectKind)
 	case 't', 'f':
-		return string(boolean)
+		return string(boolKind)
 	}
-	return "another value"
+	return string(otherKind)
 }
 
 // kindOf returns the kind of JSON values that a type holds.
 func kindOf(t reflect.Type) Kind {
 	if t == nil {
-		return "another value"
+		return otherKind
 	}
 	switch t.Kind() {
 	case reflect.Pointer:
 		return kindOf(t.Elem())
 	case reflect.Slice, reflect.Array:
-		return list
+		return listKind
 	case reflect.Struct, reflect.Map:
-		return object
+		return objectKind
 	case reflect.Float32, reflect.Float64:
 		return Number
 	case reflect.String:
-		return text
+		return stringKind
 	case reflect.Bool:
-		return boolean
+		return boolKind
 	}
 	return WholeNumber
 }
--- a/internal/wire/sparjson/number.go
+++ b/internal/wire/sparjson/number.go
@@ -22,12 +22,17 @@
 
 // NewKindError returns the error of a value that is not of the kind wanted.
 func NewKindError(value []byte, want Kind) error {
+	return &KindError{Value: shorten(value), Want: want}
+}
+
+// shorten returns a value, or its beginning if it is longer than maxValue.
+func shorten(value []byte) string {
 	if len(value) <= maxValue {
-		return &KindError{Value: string(value), Want: want}
+		return string(value)
 	}
 	n := maxValue
 	for n > 0 && !utf8.RuneStart(value[n]) {
 		n--
 	}
-	return &KindError{Value: string(value[:n]) + "...", Want: want}
+	return string(value[:n]) + "..."
 }
--- a/internal/wire/sparjson/sparjson_test.go
+++ b/internal/wire/sparjson/sparjson_test.go
@@ -16,6 +16,7 @@
 		Slots *even    `json:"slots"`
 		Seeds []string `json:"seeds"`
 		Rate  float64  `json:"rate"`
+		Count int      `json:"count"`
 		Own   struct {
 			Ready bool `json:"ready"`
 		} `json:"own"`
@@ -76,6 +77,8 @@
 		`{"seeds": ` + list(20_000) + `}`:  "expected",
 		`{"more": ` + list(1_000_000):      "expected",
 		`{"slots": ` + digits(1_000) + `}`: `..., expected an even number`,
+		`{"name": ` + digits(1_000) + `}`:  `expected a string`,
+		`{"count": ` + digits(1_000) + `}`: `..., expected a whole number`,
 	} {
 		t.Run(want, func(t *testing.T) {
 			value, err := sparjson.Decode[team]([]byte(text))
