--- a/internal/route/sparcookie/engine_test.go
+++ b/internal/route/sparcookie/engine_test.go
@@ -189,6 +189,14 @@
 	return &client{f: f, s: sparcookie.Segment{From: sparflow.MakeEndpoint(0x64400001, f.port), To: to, Seq: 100}}
 }
 
+// openFlow returns the client of a new flow whose handshake is done.
+func (f *fixture) openFlow() *client {
+	c := f.newClient(bookingAddr)
+	c.open()
+	c.ackHandshake()
+	return c
+}
+
 // open sends the SYN.
 func (c *client) open() sparcookie.Verdict {
 	s := c.s
--- a/internal/route/sparcookie/forward_test.go
+++ b/internal/route/sparcookie/forward_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
-	"github.com/oleanderspar/oleanderspar/internal/flow/sparflow"
 	"github.com/oleanderspar/oleanderspar/internal/route/sparcookie"
 	"github.com/oleanderspar/oleanderspar/internal/settings/sparroster"
 )
@@ -102,9 +100,7 @@
 
 func TestDroppedRouteEndsItsFlows(t *testing.T) {
 	f := newFixture(t)
-	c := f.newClient(bookingAddr)
-	c.open()
-	c.ackHandshake()
+	c := f.openFlow()
 	f.routes = f.routes[1:]
 	f.apply()
 	f.engine.SetFresh(false)
@@ -120,9 +116,7 @@
 	for _, planned := range []bool{true, false} {
 		t.Run(fmt.Sprintf("planned %v", planned), func(t *testing.T) {
 			f := newFixture(t)
-			c := f.newClient(bookingAddr)
-			c.open()
-			c.ackHandshake()
+			c := f.openFlow()
 			f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = planned })
 			f.remove(c.upstream)
 			wantVerdict(t, c.request(), sparcookie.ToUpstream, sparcookie.Carried)
@@ -141,139 +135,9 @@
 	}
 }
 
-// TestUnusableUpstreamKeepsItsFlows guards against resets of flows whose upstream lives: another
-// writer has replaced its entry. The upstream takes no new flows until it has written its
-// entry again.
-func TestUnusableUpstreamKeepsItsFlows(t *testing.T) {
-	for _, draining := range []bool{true, false} {
-		t.Run(fmt.Sprintf("draining %v", draining), func(t *testing.T) {
-			f := newFixture(t)
-			c := f.newClient(bookingAddr)
-			c.open()
-			c.ackHandshake()
-			f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = draining })
-			f.unusable = []uint64{c.upstream}
-			f.apply()
-			c.request()
-			for range 5 {
-				f.wait(retransmitAfter)
-				if v := c.request(); v.Action != sparcookie.ToUpstream || v.ID != c.upstream {
-					t.Fatalf("verdict %v %v, want the upstream of the flow", v.Action, v.Cause)
-				}
-			}
-			for range 20 {
-				if v := f.newClient(bookingAddr).open(); v.ID == c.upstream || v.Action != sparcookie.ToUpstream {
-					t.Fatalf("verdict %v %v on a new flow, want another upstream", v.Action, v.Cause)
-				}
-			}
-			f.unusable = nil
-			f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = false })
-			f.wait(time.Minute)
-			taken := false
-			for range 100 {
-				other := f.newClient(bookingAddr)
-				other.open()
-				other.ackHandshake()
-				taken = taken || other.upstream == c.upstream
-			}
-			if !taken {
-				t.Error("takes no flows after its entry is back")
-			}
-		})
-	}
-}
-
-// TestUnknownUnusableUpstream puts an entry in force that can't be used, of an upstream that this VM
-// never knew, and that of one which was removed.
-func TestUnknownUnusableUpstream(t *testing.T) {
-	f := newFixture(t)
-	c := f.newClient(bookingAddr)
-	c.open()
-	f.remove(c.upstream)
-	f.unusable = []uint64{c.upstream, 0x7777}
-	f.apply()
-	if states := f.engine.UpstreamStates(); len(states) != 5 {
-		t.Errorf("%d upstreams, want the 5 others", len(states))
-	}
-}
-
-// TestRetransmittedSYNFollowsSettings guards against flows that open at an upstream which the settings in
-// force rule out: they came into force between a SYN and its copy, and the upstream, which is full,
-// answers the clients that it has.
-func TestRetransmittedSYNFollowsSettings(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		change func(f *fixture, u uint64)
-		want   string // service of the upstream that the copy goes to
-	}{
-		{"route moved", func(f *fixture, _ uint64) { f.routes[0].Targets[0].Service = receipts }, receipts},
-		{"weight 0", func(f *fixture, _ uint64) {
-			f.routes[0].Targets = []sparroster.Target{{Service: booking}, {Service: receipts, Weight: 1}}
-		}, receipts},
-		{"draining", func(f *fixture, u uint64) { f.upstreams[u-1].Draining = true }, booking},
-		{"removed", func(f *fixture, u uint64) {
-			f.upstreams = slices.DeleteFunc(f.upstreams, func(up sparroster.Upstream) bool { return up.ID == u })
-		}, booking},
-		{"unusable entry", func(f *fixture, u uint64) { f.unusable = []uint64{u} }, booking},
-		{"nothing else left", func(f *fixture, u uint64) {
-			f.upstreams = slices.DeleteFunc(f.upstreams, func(up sparroster.Upstream) bool { return up.Service == booking })
-		}, ""},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			f := newFixture(t)
-			c := f.newClient(bookingAddr)
-			c.open()
-			first := c.upstream
-			test.change(f, first)
-			f.apply()
-			v := c.open()
-			if test.want == "" {
-				wantVerdict(t, v, sparcookie.Reset, sparcookie.NoUpstream)
-				return
-			}
-			i := slices.IndexFunc(f.upstreams, func(up sparroster.Upstream) bool { return up.ID == v.ID })
-			if v.Action != sparcookie.ToUpstream || v.ID == first || i < 0 || f.upstreams[i].Service != test.want {
-				t.Errorf("%v %v to %d after %d, want an upstream of %s", v.Action, v.Cause, v.ID, first, test.want)
-			}
-		})
-	}
-}
-
-// TestEntryOfUnnamedService guards against flows that are cut off, or new ones at an upstream that drains,
-// because another writer has left an entry for it with a service that the configuration doesn't name.
-func TestEntryOfUnnamedService(t *testing.T) {
-	f := newFixture(t)
-	c := f.newClient(bookingAddr)
-	c.open()
-	c.ackHandshake()
-	f.edit(c.upstream, func(u *sparroster.Upstream) { u.Draining = true })
-	own := f.upstreams[c.upstream-1]
-	f.edit(c.upstream, func(u *sparroster.Upstream) {
-		u.Service, u.Draining, u.At = "no-such-service", false, sparflow.MakeEndpoint(0x0a0000ff, 9)
-	})
-	if states := f.engine.UpstreamStates(); len(states) != 5 {
-		t.Errorf("%d upstreams, want the 5 others", len(states))
-	}
-	if v := c.request(); v.Action != sparcookie.ToUpstream || v.ID != c.upstream || v.At != own.At {
-		t.Errorf("verdict %v %v at %v on an open flow, want its upstream at %v", v.Action, v.Cause, v.At, own.At)
-	}
-	for range 20 {
-		if v := f.newClient(bookingAddr).open(); v.ID == c.upstream || v.Action != sparcookie.ToUpstream {
-			t.Fatalf("verdict %v %v on a new flow, want another upstream", v.Action, v.Cause)
-		}
-	}
-	f.routes = append(f.routes, sparroster.Route{Address: bookingAddr + 100, Targets: []sparroster.Target{{Service: "no-such-service", Weight: 1}}})
-	f.apply()
-	if states := f.engine.UpstreamStates(); len(states) != 6 {
-		t.Errorf("%d upstreams once the service is named, want all 6", len(states))
-	}
-}
-
 func TestReorderedPacketIsNoRetransmit(t *testing.T) {
 	f := newFixture(t)
-	c := f.newClient(bookingAddr)
-	c.open()
-	c.ackHandshake()
+	c := f.openFlow()
 	second := c.s
 	second.Seq, second.Size = c.s.Seq+100, 50
 	f.forward(second)
@@ -343,9 +207,7 @@
 	f.upstreams, f.routes = full.upstreams, full.routes
 	f.apply()
 	for range 1000 {
-		c := f.newClient(bookingAddr)
-		c.open()
-		c.ackHandshake()
+		f.openFlow()
 	}
 	if n := f.engine.Flows(); n > 100 {
 		t.Errorf("%d flows on record, want at most 100", n)
@@ -369,9 +231,7 @@
 
 func TestMidFlowAllocatesNothing(t *testing.T) {
 	f := newFixture(t)
-	c := f.newClient(bookingAddr)
-	c.open()
-	c.ackHandshake()
+	c := f.openFlow()
 	s := c.s
 	if n := testing.AllocsPerRun(1000, func() { f.engine.Forward(s) }); n != 0 {
 		t.Errorf("%v allocations for a packet in a flow", n)
@@ -383,9 +243,7 @@
 	f := newFixture(&testing.T{})
 	var segments []sparcookie.Segment
 	for range 9_000 {
-		c := f.newClient(bookingAddr)
-		c.open()
-		c.ackHandshake()
+		c := f.openFlow()
 		segments = append(segments, c.s)
 	}
 	b.ReportAllocs()
@@ -402,9 +260,7 @@
 	f := newFixture(&testing.T{})
 	var segments []sparcookie.Segment
 	for range 9_000 {
-		c := f.newClient(bookingAddr)
-		c.open()
-		c.ackHandshake()
+		c := f.openFlow()
 		segments = append(segments, c.s)
 	}
 	b.ReportAllocs()
