sparsoak: another writer replaces entries of upstreams

Nothing of it is in the fault log, so nothing may break. It draws from a source of its own, so seeds without it stay as they are.

--- a/cmd/sparsoak/main.go
+++ b/cmd/sparsoak/main.go
@@ -27,6 +27,7 @@
 	Restore  bool          `arg:"--restore" help:"restore the store from older copies as well"`
 	Cold     bool          `arg:"--cold" help:"rarer faults, so that upstreams that come back cold are used"`
 	Overload bool          `arg:"--overload" help:"rarer faults, and more users than slots by turns"`
+	Odd      bool          `arg:"--odd" help:"another writer replaces entries of upstreams as well"`
 	Keep     string        `arg:"--keep" help:"directory for the logs of VMs"`
 	Program  string        `arg:"--program" help:"program of a VM, otherwise built here"`
 	JSON     bool          `arg:"--json" help:"one JSON object for each seed"`
@@ -63,7 +64,7 @@
 		}
 	}
 	for n := range a.Count {
-		p := sparsoak.Plan{Program: a.Program, Seed: a.Seed + uint64(n), For: a.For, VMs: a.VMs, Users: a.Users, Restores: a.Restore, Cold: a.Cold, Overload: a.Overload, Keep: a.Keep}
+		p := sparsoak.Plan{Program: a.Program, Seed: a.Seed + uint64(n), For: a.For, VMs: a.VMs, Users: a.Users, Restores: a.Restore, Cold: a.Cold, Overload: a.Overload, Odd: a.Odd, Keep: a.Keep}
 		if !a.Quiet {
 			p.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
 		}
--- a/internal/proof/sparsoak/evacuate.go
+++ b/internal/proof/sparsoak/evacuate.go
@@ -44,6 +44,7 @@
 	wg.Go(func() { t.injectUnwell(faulty) })
 	wg.Go(func() { t.returns(faulty) })
 	wg.Go(func() { t.absences(faulty) })
+	wg.Go(func() { t.injectOdd(faulty) })
 	if t.plan.Restores {
 		t.injectWithRestores(ctx)
 		return
--- a/internal/proof/sparsoak/soak.go
+++ b/internal/proof/sparsoak/soak.go
@@ -57,6 +57,7 @@
 		Restores  bool          // the store is also restored from older copies
 		Cold      bool          // other faults are rarer, so that VMs use upstreams that come back cold
 		Overload  bool          // other faults are rarer, and a further service has more demand than slots by turns
+		Odd       bool          // another writer replaces entries of upstreams
 		Keep      string        // directory for the logs of the VMs, empty for none
 		Progress  func(line string)
 	}
--- a/internal/proof/sparsoak/soak_test.go
+++ b/internal/proof/sparsoak/soak_test.go
@@ -26,7 +26,7 @@
 	{2, "two faults restarted one VM at once, and one of the two processes found its ports in use", 0, sparsoak.Plan{}},
 	{6105, "a VM that kept expired entries after its own outage reported a revision without them to other VMs", 8 * time.Second, sparsoak.Plan{}},
 	{6306, "the same, on a reader that other VMs follow", 8 * time.Second, sparsoak.Plan{}},
-	{9000, "none yet: restores of the store beside the other faults", 4 * time.Second, sparsoak.Plan{Restores: true}},
+	{9000, "none yet: restores of the store and another writer beside the other faults", 4 * time.Second, sparsoak.Plan{Restores: true, Odd: true}},
 	{63000, "none yet: upstreams that come back cold, overloads", 8 * time.Second, sparsoak.Plan{Cold: true, Overload: true}},
 }
 
