sparentry: TestPausedVMRefusesNothing with SYNs that waited, and later ones

Cause: SYNs that wait for a paused VM are dropped as stale since, before the age of its settings is asked; the test waited for the cause not-fresh.

Change: the test wants those that waited dropped as stale, and then SYNs that come once the VM has caught up, with the platform still refusing reads, dropped as not-fresh, which is what it asked for before. None may be refused.

--- a/internal/vm/sparentry/entry_test.go
+++ b/internal/vm/sparentry/entry_test.go
@@ -87,7 +87,8 @@
 }
 
 // TestPausedVMRefusesNothing guards against refusals by settings that were fresh before a pause.
-// Packets wait for the VM while it is paused for longer than settings are fresh.
+// Packets wait for the VM while it is paused for longer than settings are fresh, and others come once it has
+// caught up, while the platform still refuses its reads.
 func TestPausedVMRefusesNothing(t *testing.T) {
 	s := newSite(t)
 	v := s.start("vm-1")
@@ -105,7 +106,11 @@
 		v.send(unknown)
 	}
 	wg.Wait()
-	eventually(t, "the packets are dropped", func() bool { return v.log.contains(`"cause":"not-fresh"`) })
+	eventually(t, "the packets that waited are dropped", func() bool { return v.log.contains(`"cause":"stale"`) })
+	eventually(t, "later ones are dropped", func() bool {
+		v.send(unknown)
+		return v.log.contains(`"cause":"not-fresh"`)
+	})
 	if _, ok := v.log.find("flow refused"); ok && v.log.contains(`"cause":"no-route"`) {
 		t.Error("a flow is refused by settings from before the pause")
 	}
